--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package barrowstep makes the decisions of an admission gateway for a
+// Package lemongate makes the decisions of an admission gateway for a
 // service sold by plan: which requests to send on, when, to which backend,
 // and which to refuse.
 //
@@ -9,7 +9,7 @@
 //
 // The decisions are in policy.go. This file holds only their vocabulary, and
 // Handle, which hands each event to the decision that it calls for.
-package barrowstep
+package lemongate
 
 import "time"
 
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Command adapter lets the barrowstep module decide on a simulator's wire: it
+// Command adapter lets the lemongate module decide on a simulator's wire: it
 // reads batches of events on standard input and writes replies on standard
 // output. Each instance has a Gateway of its own and shares nothing.
 package main
@@ -7,7 +7,7 @@
 	"fmt"
 	"os"
 
-	"barrowstep/internal/wire"
+	"lemongate/internal/wire"
 )
 
 func main() {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -1,4 +1,4 @@
-// Package model holds the queueing model of the paper that barrowstep follows:
+// Package model holds the queueing model of the paper that lemongate follows:
 // an M/G/1 queue that is given a share of the capacity.
 package model
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"barrowstep"
+	"lemongate"
 )
 
 // facts is the part of the settings that a Gateway uses, as it stands on the
@@ -67,26 +67,26 @@
 	CeilingDepth float64 `json:"never_over_depth"`
 }
 
-var effects = map[string]barrowstep.Effect{
-	"idempotent": barrowstep.Safe, "deduplicated": barrowstep.Keyed, "at_most_once": barrowstep.Unsafe,
+var effects = map[string]lemongate.Effect{
+	"idempotent": lemongate.Safe, "deduplicated": lemongate.Keyed, "at_most_once": lemongate.Unsafe,
 }
 
-var groups = map[string]barrowstep.Group{
-	"all": barrowstep.GroupAll, "zone": barrowstep.GroupZone, "cell": barrowstep.GroupCell,
-	"": barrowstep.GroupCell,
+var groups = map[string]lemongate.Group{
+	"all": lemongate.GroupAll, "zone": lemongate.GroupZone, "cell": lemongate.GroupCell,
+	"": lemongate.GroupCell,
 }
 
 // decodeSettings reads the settings object.
-func decodeSettings(text string) (barrowstep.Settings, error) {
+func decodeSettings(text string) (lemongate.Settings, error) {
 	var f facts
-	var none barrowstep.Settings
+	var none lemongate.Settings
 	if err := json.Unmarshal([]byte(text), &f); err != nil {
 		return none, err
 	}
 	if len(f.Classes) == 0 {
 		return none, errors.New("no classes")
 	}
-	s := barrowstep.Settings{
+	s := lemongate.Settings{
 		Self: f.Me, Gateways: f.Siblings, Zone: f.Zone, Tick: seconds(f.Granularity),
 		MarksRetry: f.Clients.MarksRetry, MaxAttempts: f.Allowed.MaxAttempts, MayCancel: f.Allowed.MayCancel, MayProbe: f.Allowed.Probes,
 		MayTell: f.Allowed.Peers, PeerInPerSec: f.Family.PeerInPerS,
@@ -109,13 +109,13 @@
 		if !known {
 			return none, fmt.Errorf("class %q: unknown group %q", clip(c.Name), clip(c.Group))
 		}
-		s.Classes = append(s.Classes, barrowstep.Class{
+		s.Classes = append(s.Classes, lemongate.Class{
 			Name: c.Name, Effect: effect, Group: group, Window: seconds(c.Window),
 			Aim: seconds(c.OnTime), Deadline: seconds(c.Deadline), Worth: c.Worth,
 		})
 	}
 	for _, p := range f.Plans {
-		s.Plans = append(s.Plans, barrowstep.Plan{
+		s.Plans = append(s.Plans, lemongate.Plan{
 			Name: p.Name, Rate: p.Refill, Burst: p.Depth, Open: p.Concurrency, Price: p.Pays,
 			CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingDepth,
 		})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire speaks the simulator's line protocol for barrowstep gateways.
+// Package wire speaks the simulator's line protocol for lemongate gateways.
 // It translates and decides nothing.
 package wire
 
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"barrowstep"
+	"lemongate"
 )
 
 // maxLine bounds a line of input; settings and long lists fit well inside.
@@ -24,8 +24,8 @@
 	out   *bufio.Writer
 	line  int
 	now   time.Duration
-	gates map[string]*barrowstep.Gateway
-	acts  []barrowstep.Action
+	gates map[string]*lemongate.Gateway
+	acts  []lemongate.Action
 	reply []byte
 }
 
@@ -35,7 +35,7 @@
 	s := &server{
 		in:    bufio.NewScanner(r),
 		out:   bufio.NewWriterSize(w, 1<<16),
-		gates: map[string]*barrowstep.Gateway{},
+		gates: map[string]*lemongate.Gateway{},
 	}
 	s.in.Buffer(make([]byte, 1<<16), maxLine)
 	for {
@@ -114,7 +114,7 @@
 		return f.err
 	}
 	door := f.parts[1]
-	var ev barrowstep.Event
+	var ev lemongate.Event
 	switch verb {
 	case "power_on":
 		seed := f.seed(2)
@@ -123,14 +123,14 @@
 			return fmt.Errorf("power_on: settings: %w", err)
 		}
 		if f.err == nil {
-			s.gates[door] = barrowstep.New(settings, seed)
+			s.gates[door] = lemongate.New(settings, seed)
 		}
 		return f.err
 	case "halt":
 		delete(s.gates, door)
 		return nil
 	case "membership":
-		list := &barrowstep.List{Kind: choice(&f, 3, listKinds)}
+		list := &lemongate.List{Kind: choice(&f, 3, listKinds)}
 		f.integer(2)
 		n := f.integer(4)
 		for i := int64(0); i < n && f.err == nil; i++ {
@@ -146,32 +146,32 @@
 		}
 		ev = list
 	case "accept":
-		ev = &barrowstep.Request{
+		ev = &lemongate.Request{
 			ID: f.request(2), Budget: f.clock(3), First: int(f.integer(4)), Spread: int(f.integer(6)),
 			Retry: f.flag(7), Plan: f.parts[8], Units: f.number(9), Customer: f.parts[10], Class: f.parts[11],
 		}
 		f.flag(5)
 	case "fired":
-		ev = &barrowstep.Timer{Token: f.parts[2]}
+		ev = &lemongate.Timer{Token: f.parts[2]}
 	case "aborted":
-		ev = &barrowstep.Gone{Request: f.request(2)}
+		ev = &lemongate.Gone{Request: f.request(2)}
 	case "answer":
-		ev = &barrowstep.Outcome{
+		ev = &lemongate.Outcome{
 			Request: f.request(2), Attempt: int(f.integer(3)), Backend: f.parts[4], Result: choice(&f, 5, results),
 			Latency: f.clock(6), Final: f.flag(7), Report: f.report(10),
 		}
 		f.number(8)
 		f.number(9)
 	case "message":
-		ev = &barrowstep.PeerMessage{From: int(f.integer(2)), Data: f.bytes(3)}
+		ev = &lemongate.PeerMessage{From: int(f.integer(2)), Data: f.bytes(3)}
 	case "probed":
-		ev = &barrowstep.ProbeResult{
+		ev = &lemongate.ProbeResult{
 			Backend: f.parts[2], Result: choice(&f, 3, results), Latency: f.clock(4), Report: f.report(5),
 		}
 	case "reckoned": // the counter service is not used, so its answers tell nothing
 		f.number(2)
 	case "first":
-		ev = &barrowstep.Started{Request: f.request(2), Attempt: int(f.integer(5))}
+		ev = &lemongate.Started{Request: f.request(2), Attempt: int(f.integer(5))}
 		f.clock(3)
 	}
 	if f.err != nil {
@@ -188,32 +188,32 @@
 	return nil
 }
 
-var listKinds = map[string]barrowstep.ListKind{
-	"D": barrowstep.ListChanges, "F": barrowstep.ListFull,
-	"C": barrowstep.ListCached, "X": barrowstep.ListFailed,
+var listKinds = map[string]lemongate.ListKind{
+	"D": lemongate.ListChanges, "F": lemongate.ListFull,
+	"C": lemongate.ListCached, "X": lemongate.ListFailed,
 }
 
-var results = map[string]barrowstep.Result{
-	"done": barrowstep.Done, "err": barrowstep.Errored, "busy": barrowstep.TurnedAway,
-	"etimedout": barrowstep.TimedOut, "econnrefused": barrowstep.Unreachable,
-	"econnreset": barrowstep.Broken, "ecanceled": barrowstep.Canceled, "skipped": barrowstep.NotSent,
+var results = map[string]lemongate.Result{
+	"done": lemongate.Done, "err": lemongate.Errored, "busy": lemongate.TurnedAway,
+	"etimedout": lemongate.TimedOut, "econnrefused": lemongate.Unreachable,
+	"econnreset": lemongate.Broken, "ecanceled": lemongate.Canceled, "skipped": lemongate.NotSent,
 }
 
-var states = map[string]barrowstep.BackendState{
-	"live": barrowstep.Live, "quiescing": barrowstep.Draining, "dead": barrowstep.Dead,
+var states = map[string]lemongate.BackendState{
+	"live": lemongate.Live, "quiescing": lemongate.Draining, "dead": lemongate.Dead,
 }
 
 // decodeRow reads an entry of the backend list.
-func decodeRow(line string) (barrowstep.Backend, error) {
+func decodeRow(line string) (lemongate.Backend, error) {
 	f := fields{verb: "row", parts: strings.Split(line, "\t")}
 	if f.parts[0] != "row" {
-		return barrowstep.Backend{}, fmt.Errorf("membership: want row, got %q", clip(f.parts[0]))
+		return lemongate.Backend{}, fmt.Errorf("membership: want row, got %q", clip(f.parts[0]))
 	}
 	f.count(8)
 	if f.err != nil {
-		return barrowstep.Backend{}, f.err
+		return lemongate.Backend{}, f.err
 	}
-	b := barrowstep.Backend{
+	b := lemongate.Backend{
 		ID: f.parts[1], Zone: f.parts[2], Cell: int(f.integer(4)), State: choice(&f, 5, states),
 		Size: f.number(6), Started: f.clock(7),
 	}
@@ -281,12 +281,12 @@
 	return v
 }
 
-func (f *fields) request(i int) barrowstep.RequestID {
+func (f *fields) request(i int) lemongate.RequestID {
 	v, err := strconv.ParseUint(f.at(i), 10, 32)
 	if err != nil {
 		f.bad(i, "a request id")
 	}
-	return barrowstep.RequestID(v)
+	return lemongate.RequestID(v)
 }
 
 // seed reads any integer of 64 bits, with or without a sign.
@@ -358,43 +358,43 @@
 func seconds(v float64) time.Duration { return time.Duration(math.Round(v * float64(time.Second))) }
 
 // appendAction writes an action as a line.
-func appendAction(out []byte, door string, action barrowstep.Action) []byte {
+func appendAction(out []byte, door string, action lemongate.Action) []byte {
 	start := func(verb string) { out = append(append(append(out, verb...), '\t'), door...) }
 	text := func(v string) { out = append(append(out, '\t'), v...) }
 	whole := func(v int64) { out = strconv.AppendInt(append(out, '\t'), v, 10) }
 	clock := func(v time.Duration) { out = strconv.AppendFloat(append(out, '\t'), v.Seconds(), 'f', 6, 64) }
 	switch a := action.(type) {
-	case barrowstep.Send:
+	case lemongate.Send:
 		start("attempt")
 		whole(int64(a.Request))
 		text(a.Backend)
 		clock(a.GiveUp)
-	case barrowstep.Refuse:
+	case lemongate.Refuse:
 		start("deny")
 		whole(int64(a.Request))
 		clock(a.After)
-	case barrowstep.Fail:
+	case lemongate.Fail:
 		start("drop_request")
 		whole(int64(a.Request))
-	case barrowstep.Cancel:
+	case lemongate.Cancel:
 		start("stop_attempt")
 		whole(int64(a.Request))
 		whole(int64(a.Attempt))
-	case barrowstep.Wake:
+	case lemongate.Wake:
 		start("defer")
 		clock(a.At)
 		text(a.Token)
-	case barrowstep.Tell:
+	case lemongate.Tell:
 		start("say")
 		whole(int64(a.Peer))
 		text(base64.StdEncoding.EncodeToString(a.Data))
-	case barrowstep.Probe:
+	case lemongate.Probe:
 		start("inspect")
 		text(a.Backend)
-	case barrowstep.Watch:
+	case lemongate.Watch:
 		start("listen")
 		text("1")
-	case barrowstep.Log:
+	case lemongate.Log:
 		start("remark")
 		text(strings.NewReplacer("\t", " ", "\n", " ").Replace(a.Text))
 	}
--- a/invariants_test.go
+++ b/invariants_test.go
@@ -1,4 +1,4 @@
-package barrowstep
+package lemongate
 
 import (
 	"encoding/binary"
--- a/policy.go
+++ b/policy.go
@@ -1,4 +1,4 @@
-package barrowstep
+package lemongate
 
 // This file makes every decision, in the order a request meets them: admit (quota), dispatch (shares and
 // window), choose (backend), outcome, end. Then the store and peer messages, the control loop, backend
@@ -10,8 +10,8 @@
 	"slices"
 	"time"
 
-	"barrowstep/internal/model"
-	"barrowstep/internal/peermsg"
+	"lemongate/internal/model"
+	"lemongate/internal/peermsg"
 )
 
 // Tuned values. Each is a pure number; times come from settings.
--- a/policy_test.go
+++ b/policy_test.go
@@ -1,4 +1,4 @@
-package barrowstep
+package lemongate
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"barrowstep/internal/model"
-	"barrowstep/internal/peermsg"
+	"lemongate/internal/model"
+	"lemongate/internal/peermsg"
 )
 
 const ms = time.Millisecond
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package barrowstep
+package lemongate
 
 import (
 	"cmp"
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"barrowstep/internal/peermsg"
+	"lemongate/internal/peermsg"
 )
 
 // This file holds what a Gateway remembers, and nothing that decides.
