--- /dev/null
+++ b/cmd/lemongate/main.go
@@ -0,0 +1,113 @@
+// Command lemongate is a limiter on real sockets: it takes reqs in, has the
+// lemongate module decide which go on to which backend, and answers them.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"lemongate/internal/config"
+	"lemongate/internal/node"
+)
+
+// memoryPart is the part of the memory limit that the Go heap is held to; the
+// rest is for stacks, the program itself and what the system keeps for it.
+const memoryPart = 0.7
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "lemongate:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	level := &cli.StringFlag{
+		Name: "log-level", Value: "info", Usage: "least level of the log lines: debug, info, warn or error",
+	}
+	return &cli.Command{
+		Name:  "lemongate",
+		Usage: "share sending among request classes and hold quotas over all limiters",
+		Commands: []*cli.Command{
+			{
+				Name: "serve", Usage: "serve until SIGTERM; SIGUSR1 prints the counters",
+				Flags: []cli.Flag{level}, Action: serve,
+			},
+			{Name: "check", Usage: "read the configuration, tell what it says, and exit", Action: check},
+			{Name: "version", Usage: "print the version", Action: version},
+		},
+	}
+}
+
+func serve(_ context.Context, cmd *cli.Command) error {
+	dump, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+
+	log, err := logger(cmd.String("log-level"))
+	if err != nil {
+		return err
+	}
+	defer log.Sync() //nolint: a log that cannot be flushed cannot be told of either
+	clock := node.NewClock()
+	c, err := config.Load(os.Getenv, clock.Zero())
+	if err != nil {
+		return err
+	}
+	limit(c.Limits)
+	return node.Run(c, clock, log, dump, stop)
+}
+
+// limit keeps the runtime within what the platform gives.
+func limit(l config.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(l.Cores), 1))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(l.MemoryMB<<20) * memoryPart))
+	}
+}
+
+func logger(level string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log-level: %w", err)
+	}
+	c.Level = zap.NewAtomicLevelAt(at)
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.DisableStacktrace = true
+	log, err := c.Build()
+	if err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	return log, nil
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	c, err := config.Load(os.Getenv, node.NewClock().Zero())
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "%s: limiter %d of %d, %d classes, %d plans, %d known backends\n",
+		c.Name, c.Settings.Self, c.Settings.Gateways, len(c.Settings.Classes), len(c.Settings.Plans), len(c.Known))
+	return nil
+}
+
+func version(_ context.Context, cmd *cli.Command) error {
+	text := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		text = info.Main.Version + " " + info.GoVersion
+	}
+	fmt.Fprintln(cmd.Root().Writer, "lemongate", text)
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,183 @@
+// Package config turns the environment and the configuration file into typed
+// settings. What is wrong with them is told in one plain error.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"lemongate"
+	"lemongate/internal/discovery"
+	"lemongate/internal/reducer"
+	"lemongate/internal/wire"
+)
+
+// Config is all that the program is told.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+
+	PeerListen netip.AddrPort
+	Peers      []netip.AddrPort // by the limiters' numbers
+	PeersAll   netip.AddrPort   // reaches all of them
+
+	Known      []reducer.Entry // the backends as last known
+	Generation int64           // of that list
+	Settings   wire.Settings
+}
+
+// Limits are the platform's for one limiter; zero means none is told.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// file is the configuration file as it stands.
+type file struct {
+	Name       string              `json:"name"`
+	Listen     string              `json:"listen"`
+	Discovery  string              `json:"discovery"`
+	Seed       string              `json:"seed"`
+	Limits     Limits              `json:"limits"`
+	PeerListen string              `json:"peer_listen"`
+	Peers      []string            `json:"peers"`
+	PeersAll   string              `json:"peers_all"`
+	Known      jsoniter.RawMessage `json:"known"`
+	Settings   jsoniter.RawMessage `json:"settings"`
+}
+
+// Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and
+// ROUTER_DISCOVERY go before what the file says. Origin is the Unix time at
+// which the program's clock stood at zero.
+func Load(env func(string) string, origin time.Time) (*Config, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("configuration: ROUTER_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parse(data, env, origin)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
+func parse(data []byte, env func(string) string, origin time.Time) (*Config, error) {
+	var f file
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(data, &f); err != nil {
+		return nil, fmt.Errorf("bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	for name, to := range map[string]*string{
+		"ROUTER_NAME": &f.Name, "ROUTER_LISTEN": &f.Listen, "ROUTER_DISCOVERY": &f.Discovery,
+	} {
+		if v := env(name); v != "" {
+			*to = v
+		}
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Seed: seed(f.Seed)}
+	var err error
+	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(f.Known) > 0 {
+		list, generation, err := discovery.Decode(f.Known, origin)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		c.Known, c.Generation = list.Entries, generation
+	}
+	for _, at := range []struct{ what, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(at.addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", at.what, err)
+		}
+	}
+	if err := c.peers(&f); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
+// peers reads the addresses of the other limiters, where there are any.
+func (c *Config) peers(f *file) (err error) {
+	if f.PeerListen == "" {
+		c.Settings.MayTell = false // there is nothing to tell it through
+		return nil
+	}
+	if c.PeerListen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	if f.PeersAll != "" {
+		if c.PeersAll, err = netip.ParseAddrPort(f.PeersAll); err != nil {
+			return fmt.Errorf("peers_all: %w", err)
+		}
+	}
+	for i, p := range f.Peers {
+		at, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return fmt.Errorf("peers: number %d: %w", i, err)
+		}
+		c.Peers = append(c.Peers, at)
+	}
+	return nil
+}
+
+// check finds what would only fail later, or quietly.
+func (c *Config) check() error {
+	s := &c.Settings
+	switch {
+	case s.Gateways > 1 && (s.Self < 0 || s.Self >= s.Gateways):
+		return fmt.Errorf("settings: me is %d of %d", s.Self, s.Gateways)
+	case c.PeerListen.IsValid() && len(c.Peers) != max(s.Gateways, 1):
+		return fmt.Errorf("peers: %d addresses for %d limiters", len(c.Peers), s.Gateways)
+	case c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0:
+		return errors.New("limits: below zero")
+	case len(s.Plans) == 0:
+		return errors.New("settings: no plans")
+	}
+	for _, class := range s.Classes {
+		if class.Name == "" || class.Deadline <= 0 {
+			return fmt.Errorf("settings: class %q: no deadline", class.Name)
+		}
+	}
+	return nil
+}
+
+// seed takes 16 hex digits as they are and any other text by its hash.
+func seed(text string) uint64 {
+	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// Reducer is the part of the configuration that the reducer needs.
+func (c *Config) Reducer() reducer.Config {
+	return reducer.Config{Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known}
+}
+
+// Plan finds a plan by its name.
+func (c *Config) Plan(name string) (lemongate.Plan, bool) {
+	for _, p := range c.Settings.Plans {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return lemongate.Plan{}, false
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,168 @@
+// Package discovery watches the list of backends. It keeps a stream open,
+// resumes it where it broke, and tells what it reads; it decides nothing.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"go.uber.org/zap"
+
+	"lemongate"
+	"lemongate/internal/reducer"
+)
+
+const (
+	silentAfter = 7 * time.Second // a line comes every 2 s; three of them missing means the stream is dead
+	backoffFrom = 200 * time.Millisecond
+	backoffMost = 2 * time.Second
+	maxLine     = 4 << 20 // of a list; far more than any fleet fills
+)
+
+// message is a list or a change of it, as discovery words it.
+type message struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []instance `json:"instances"`
+}
+
+type instance struct {
+	ID        string  `json:"instanceId"`
+	Addr      string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"startedAtMs"`
+}
+
+var states = map[string]lemongate.BackendState{
+	"up": lemongate.Live, "draining": lemongate.Draining, "removed": lemongate.Dead,
+}
+
+// Decode reads one message. Origin is the Unix time at which the program's
+// clock stood at zero.
+func Decode(data []byte, origin time.Time) (list *reducer.Listed, generation int64, err error) {
+	var m message
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(data, &m); err != nil {
+		return nil, 0, fmt.Errorf("list of backends: bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	list = &reducer.Listed{Kind: lemongate.ListChanges}
+	if m.Reset {
+		list.Kind = lemongate.ListFull
+	}
+	for _, x := range m.Instances {
+		state, known := states[x.Lifecycle]
+		if !known || x.ID == "" {
+			return nil, 0, fmt.Errorf("list of backends: instance %q: unknown lifecycle %q", x.ID, x.Lifecycle)
+		}
+		if _, _, err := net.SplitHostPort(x.Addr); err != nil && state == lemongate.Live {
+			return nil, 0, fmt.Errorf("list of backends: instance %q: %w", x.ID, err)
+		}
+		e := reducer.Entry{Addr: x.Addr, Backend: lemongate.Backend{
+			ID: x.ID, Zone: x.Zone, Cell: x.Cell, State: state, Size: x.Weight,
+		}}
+		if x.StartedMS > 0 {
+			e.Started = max(time.UnixMilli(x.StartedMS).Sub(origin), 0)
+		}
+		list.Entries = append(list.Entries, e)
+	}
+	return list, m.Generation, nil
+}
+
+// A Watcher keeps a watch open.
+type Watcher struct {
+	Addr   string
+	Origin time.Time           // see Decode
+	Index  int64               // the generation held; grows as the watch tells of newer ones
+	Post   func(reducer.Event) // takes what was read
+	Log    *zap.Logger
+	Silent time.Duration         // overrides how long a silent stream is trusted
+	Pause  func(d time.Duration) // overrides how a pause is spent
+}
+
+// Run watches until ctx ends. Meanwhile the old list holds, whatever fails.
+func (w *Watcher) Run(ctx context.Context) {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	backoff := backoffFrom
+	for ctx.Err() == nil {
+		read, err := w.watch(ctx, transport)
+		if ctx.Err() != nil {
+			return
+		}
+		if read > 0 {
+			backoff = backoffFrom
+		}
+		w.Log.Warn("watch of the backend list ended", zap.Int("messages", read), zap.Error(err))
+		w.pause(ctx, backoff)
+		backoff = min(2*backoff, backoffMost)
+	}
+}
+
+func (w *Watcher) pause(ctx context.Context, d time.Duration) {
+	if w.Pause != nil {
+		w.Pause(d)
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// watch reads one stream to its end and tells how many messages it brought.
+func (w *Watcher) watch(ctx context.Context, transport *http.Transport) (read int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := w.Silent
+	if silent == 0 {
+		silent = silentAfter
+	}
+	// A cut-off discovery says nothing and TCP does not notice: the stream is
+	// given up when not even the empty lines come.
+	alarm := time.AfterFunc(silent, cancel)
+	defer alarm.Stop()
+
+	url := "http://" + w.Addr + "/v1/endpoints?stream=1&index=" + strconv.FormatInt(w.Index, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, fmt.Errorf("watch: %w", err)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return 0, fmt.Errorf("watch: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("watch: status %d", resp.StatusCode)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		alarm.Reset(silent)
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		list, generation, err := Decode(lines.Bytes(), w.Origin)
+		if err != nil {
+			w.Index = 0 // what this line changed is unknown, so the whole list is wanted
+			return read, err
+		}
+		w.Index = generation
+		read++
+		w.Post(list)
+	}
+	if lines.Err() != nil {
+		return read, fmt.Errorf("watch: %w", lines.Err())
+	}
+	return read, errors.New("watch: stream ended")
+}
--- /dev/null
+++ b/internal/fetch/fetch.go
@@ -0,0 +1,387 @@
+// Package fetch carries reqs to backends over http.Transport and tells what
+// came back. It makes exactly the attempts it is asked for: nothing is sent
+// again by itself, compressed, redirected or taken through a proxy.
+package fetch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lemongate"
+	"lemongate/internal/reducer"
+)
+
+// maxBody is the most that a body holds, either way.
+const maxBody = 64 << 10
+
+// A Req is what a fetch passes on of a client's req.
+type Req struct {
+	Method string
+	URI    string // path and query as they came
+	Host   string
+	CallID string
+	Key    string // Idempotency-Key, if any
+	Type   string // of the body
+	Body   []byte
+}
+
+// A Reply is a backend's answer.
+type Reply struct {
+	Type string
+	Body []byte
+}
+
+// Options set up a Pool.
+type Options struct {
+	ConnectTimeout time.Duration
+	IdleClose      time.Duration // the backends' own bound on idle connections
+	Fields         []string      // of a load report, in the order of the settings
+	IdlePerBackend int           // spare connections kept
+	MostConns      int           // to all backends together; 0 for no bound
+	Post           func(reducer.Event)
+}
+
+// A Pool carries out all fetches and probes.
+type Pool struct {
+	opt   Options
+	conns atomic.Int64
+
+	mu       sync.Mutex
+	backends map[string]*backend
+	fetches  map[reducer.FetchID]*fetch
+}
+
+// A backend is one life of a backend at one address, with its connections.
+type backend struct {
+	transport *http.Transport
+	dropped   atomic.Bool
+	users     int // fetches and probes out, under Pool.mu
+}
+
+type fetch struct {
+	backend *backend
+	cancel  context.CancelFunc
+	conn    atomic.Pointer[conn]
+	wrote   atomic.Bool // the req went whole into the connection's buffer
+}
+
+// New returns a Pool without connections.
+func New(opt Options) *Pool {
+	return &Pool{opt: opt, backends: map[string]*backend{}, fetches: map[reducer.FetchID]*fetch{}}
+}
+
+// Conns tells how many connections to backends are open.
+func (p *Pool) Conns() int { return int(p.conns.Load()) }
+
+// Start begins a fetch. Its outcome is posted, unless Stop comes first.
+func (p *Pool) Start(e reducer.StartFetch) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.mu.Lock()
+	f := &fetch{backend: p.backend(e.Backend, e.Addr), cancel: cancel}
+	p.fetches[e.Fetch] = f
+	p.mu.Unlock()
+	go p.run(ctx, f, e)
+}
+
+// Stop gives a fetch up: its connection is closed before Stop returns, so that
+// no later attempt of the req is a second copy beside it.
+func (p *Pool) Stop(id reducer.FetchID) {
+	p.mu.Lock()
+	f := p.fetches[id]
+	delete(p.fetches, id)
+	p.mu.Unlock()
+	if f == nil {
+		return
+	}
+	f.cancel()
+	if c := f.conn.Load(); c != nil {
+		c.giveUp(f)
+	}
+}
+
+// Drop ends new sending to a backend: idle connections are closed, and what
+// has no byte written yet is cancelled, to be sent elsewhere. What is being
+// answered goes on.
+func (p *Pool) Drop(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.backends[id]
+	if b == nil {
+		return
+	}
+	delete(p.backends, id)
+	b.dropped.Store(true)
+	for _, f := range p.fetches {
+		if f.backend != b {
+			continue
+		}
+		c := f.conn.Load()
+		if c == nil {
+			f.cancel()
+		} else if any, _ := c.carried(f); !any {
+			f.cancel()
+		}
+	}
+	b.transport.CloseIdleConnections()
+}
+
+// Close drops all backends.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	ids := make([]string, 0, len(p.backends))
+	for id := range p.backends {
+		ids = append(ids, id)
+	}
+	p.mu.Unlock()
+	for _, id := range ids {
+		p.Drop(id)
+	}
+}
+
+// backend finds a backend's present life or starts it. p.mu is held.
+func (p *Pool) backend(id, addr string) *backend {
+	b := p.backends[id]
+	if b == nil {
+		b = &backend{}
+		dialer := &net.Dialer{Timeout: p.opt.ConnectTimeout, KeepAlive: -1}
+		b.transport = &http.Transport{
+			DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+				return p.dial(ctx, dialer, b, network, addr)
+			},
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: max(p.opt.IdlePerBackend, 1),
+			// Before the backend's machine closes it, or a req that crosses
+			// the close is lost.
+			IdleConnTimeout:        p.opt.IdleClose * 2 / 3,
+			MaxResponseHeaderBytes: 16 << 10,
+		}
+		p.backends[id] = b
+	}
+	b.users++
+	return b
+}
+
+// done books that a fetch or probe of a backend has ended. The connections of
+// a dropped one are closed as they come free.
+func (p *Pool) done(b *backend) {
+	p.mu.Lock()
+	b.users--
+	p.mu.Unlock()
+	if b.dropped.Load() {
+		b.transport.CloseIdleConnections()
+	}
+}
+
+var errTooMany = errors.New("too many connections")
+
+func (p *Pool) dial(ctx context.Context, d *net.Dialer, b *backend, network, addr string) (net.Conn, error) {
+	if b.dropped.Load() {
+		return nil, errDropped
+	}
+	if n := p.conns.Add(1); p.opt.MostConns > 0 && n > int64(p.opt.MostConns) {
+		p.conns.Add(-1)
+		return nil, errTooMany
+	}
+	raw, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		p.conns.Add(-1)
+		return nil, err
+	}
+	return &conn{Conn: raw, backend: b, closed: func() { p.conns.Add(-1) }}, nil
+}
+
+func (p *Pool) run(ctx context.Context, f *fetch, e reducer.StartFetch) {
+	defer p.done(f.backend)
+	defer f.cancel()
+	result, report, reply := p.fetch(ctx, f, e)
+	p.mu.Lock()
+	wanted := p.fetches[e.Fetch] == f
+	delete(p.fetches, e.Fetch)
+	p.mu.Unlock()
+	if wanted {
+		p.opt.Post(&reducer.FetchEnded{Fetch: e.Fetch, Result: result, Report: report, Reply: reply})
+	}
+}
+
+// fetch makes one attempt and tells its outcome.
+func (p *Pool) fetch(ctx context.Context, f *fetch, e reducer.StartFetch) (lemongate.Result, []float64, reducer.Content) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.begin(f)
+				f.conn.Store(c)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { f.wrote.Store(info.Err == nil) },
+	})
+	in := e.Content.(*Req)
+	resp, err := f.backend.transport.RoundTrip(request(ctx, in, e))
+	if err != nil {
+		return p.broken(f), nil, nil
+	}
+	defer resp.Body.Close()
+	report := parseReport(resp.Header.Get("X-Load-Report"), p.opt.Fields)
+	body, err := readBody(resp)
+	switch {
+	case err != nil:
+		return p.broken(f), report, nil
+	case resp.StatusCode == http.StatusOK:
+		return lemongate.Done, report, &Reply{Type: resp.Header.Get("Content-Type"), Body: body}
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Rejected") == "1":
+		return lemongate.TurnedAway, report, nil
+	}
+	return lemongate.Errored, report, nil
+}
+
+// request words a fetch. Its Body is never nil and has no GetBody: otherwise
+// http.Transport would send a GET, or anything with Idempotency-Key, again by
+// itself when a kept connection turns out dead.
+func request(ctx context.Context, in *Req, e reducer.StartFetch) *http.Request {
+	h := http.Header{
+		"X-Call-Id":  {in.CallID},
+		"X-Budget":   {strconv.FormatInt(max(e.Wait.Milliseconds(), 1), 10) + "m"},
+		"User-Agent": nil, // none, rather than Go's own
+	}
+	if in.Key != "" {
+		h["Idempotency-Key"] = []string{in.Key}
+	}
+	if in.Type != "" {
+		h["Content-Type"] = []string{in.Type}
+	}
+	r := &http.Request{
+		Method: in.Method, Host: in.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:           &url.URL{Scheme: "http", Host: e.Addr, Opaque: in.URI}, // Opaque goes out as it is
+		Body:          io.NopCloser(bytes.NewReader(in.Body)),
+		ContentLength: int64(len(in.Body)),
+	}
+	return r.WithContext(ctx)
+}
+
+// broken tells what a fetch without a whole answer proves: it never ran if its
+// last byte was not written, and may have run otherwise.
+func (p *Pool) broken(f *fetch) lemongate.Result {
+	c := f.conn.Load()
+	if c == nil {
+		return lemongate.Unreachable
+	}
+	c.giveUp(f) // nothing more of it may go out from here on
+	if _, all := c.carried(f); all && f.wrote.Load() {
+		return lemongate.Broken
+	}
+	return lemongate.Unreachable
+}
+
+var errTooLong = errors.New("answer too long")
+
+func readBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxBody {
+		return nil, errTooLong
+	}
+	if n := resp.ContentLength; n >= 0 {
+		body := make([]byte, n)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, err
+		}
+		_, err := io.Copy(io.Discard, resp.Body) // its end frees the connection
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errTooLong
+	}
+	return body, err
+}
+
+// Probe asks a backend for its load and posts what came of it.
+func (p *Pool) Probe(e reducer.Probe) {
+	p.mu.Lock()
+	b := p.backend(e.Backend, e.Addr)
+	p.mu.Unlock()
+	go func() {
+		defer p.done(b)
+		began := time.Now()
+		result, report := p.probe(b, e.Addr)
+		p.opt.Post(&reducer.ProbeEnded{
+			Backend: e.Backend, Result: result, Latency: time.Since(began), Report: report,
+		})
+	}()
+}
+
+func (p *Pool) probe(b *backend, addr string) (lemongate.Result, []float64) {
+	// A probe that takes longer than a connection may tells nothing of use.
+	ctx, cancel := context.WithTimeout(context.Background(), 2*p.opt.ConnectTimeout)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.begin(nil)
+			}
+		},
+	})
+	req := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/status/load"},
+		Header: http.Header{"User-Agent": nil}, Body: io.NopCloser(bytes.NewReader(nil)),
+	}
+	resp, err := b.transport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		if ctx.Err() != nil {
+			return lemongate.TimedOut, nil
+		}
+		return lemongate.Unreachable, nil
+	}
+	defer resp.Body.Close()
+	body, err := readBody(resp)
+	if err != nil {
+		return lemongate.Broken, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return lemongate.Errored, nil
+	}
+	text := resp.Header.Get("X-Load-Report")
+	if text == "" {
+		text = string(body)
+	}
+	return lemongate.Done, parseReport(text, p.opt.Fields)
+}
+
+// parseReport reads "TEXT name=value, ..." into the order of the fields, or
+// nothing if one is missing or no number.
+func parseReport(text string, fields []string) []float64 {
+	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
+	if !ok || len(fields) == 0 {
+		return nil
+	}
+	values := make([]float64, len(fields))
+	seen := 0
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		for i, field := range fields {
+			if field != name {
+				continue
+			}
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+				return nil
+			}
+			values[i] = v
+			seen++
+		}
+	}
+	if seen != len(fields) {
+		return nil
+	}
+	return values
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,217 @@
+// Package node runs the program: one goroutine feeds the reducer with what the
+// edges post and has them carry out its effects.
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"lemongate/internal/config"
+	"lemongate/internal/discovery"
+	"lemongate/internal/fetch"
+	"lemongate/internal/front"
+	"lemongate/internal/peer"
+	"lemongate/internal/reducer"
+)
+
+const (
+	inbox = 1024 // events that may wait; edges wait beyond that
+
+	// Parts of the socket limit. The rest is for discovery, peers, files, and
+	// what is closed here but not yet forgotten by the system.
+	frontPart, fetchPart = 0.6, 0.25
+	sparesLeast          = 4
+	sparesPart           = 1.0 / 64 // spare connections kept per backend
+)
+
+// A Clock tells the time since its zero.
+type Clock struct{ zero time.Time }
+
+// NewClock starts a clock that stood at zero long enough ago for every start
+// of a backend that still matters to be after it.
+func NewClock() Clock { return Clock{time.Now().Add(-time.Hour)} }
+
+// Zero is when the clock stood at zero.
+func (c Clock) Zero() time.Time { return c.zero }
+
+// Now tells the time; it never goes back.
+func (c Clock) Now() time.Duration { return time.Since(c.zero) }
+
+// A Node is the running program.
+type Node struct {
+	clock   Clock
+	log     *zap.Logger
+	events  chan reducer.Event
+	done    chan struct{}
+	reducer *reducer.Reducer
+	front   *front.Front
+	fetches *fetch.Pool
+	peers   *peer.Link // nil where there are none
+	timer   *time.Timer
+	exit    bool
+	cancel  context.CancelFunc
+	edges   sync.WaitGroup
+}
+
+// Run serves until it is told to stop and has answered what it had taken, and
+// returns an error if it could not. A value from dump has the counters printed,
+// one from stop begins the way out.
+func Run(c *config.Config, clock Clock, log *zap.Logger, dump, stop <-chan os.Signal) error {
+	n := &Node{
+		clock: clock, log: log, events: make(chan reducer.Event, inbox), done: make(chan struct{}),
+		timer: time.NewTimer(time.Hour),
+	}
+	failed, err := n.open(c)
+	if err != nil {
+		return err
+	}
+	defer n.close()
+	for !n.exit {
+		select {
+		case ev := <-n.events:
+			n.step(ev)
+			n.drain()
+		case <-n.timer.C:
+			n.step(reducer.Ticked{})
+		case <-dump:
+			n.dump()
+		case <-stop:
+			n.step(reducer.Terminated{})
+		case err := <-failed:
+			return err
+		}
+	}
+	n.dump()
+	return nil
+}
+
+// open starts the edges.
+func (n *Node) open(c *config.Config) (failed <-chan error, err error) {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if c.PeerListen.IsValid() {
+		n.peers, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, n.post, n.log)
+		if err != nil {
+			listener.Close()
+			return nil, err
+		}
+		go n.peers.Read()
+		go n.peers.Write()
+	}
+	sockets := float64(c.Limits.Sockets)
+	if sockets > 0 {
+		listener = netutil.LimitListener(listener, max(int(sockets*frontPart), 1))
+	}
+	n.fetches = fetch.New(fetch.Options{
+		ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Settings.IdleClose,
+		Fields: c.Settings.ReportFields, IdlePerBackend: max(int(sockets*sparesPart), sparesLeast),
+		MostConns: int(sockets * fetchPart), Post: n.post,
+	})
+	n.front = front.New(front.Options{
+		Settings: c.Settings.Settings, MostUnits: c.Settings.MostUnits,
+		Now: n.clock.Now, Post: n.post, Log: n.log,
+	})
+	var effects []reducer.Effect
+	n.reducer, effects = reducer.New(n.clock.Now(), c.Reducer())
+	n.carryOut(effects)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	watcher := &discovery.Watcher{
+		Addr: c.Discovery, Origin: n.clock.Zero(), Index: c.Generation, Post: n.post, Log: n.log,
+	}
+	n.edges.Go(func() { watcher.Run(ctx) })
+	broken := make(chan error, 1)
+	go func() {
+		if err := n.front.Serve(listener); err != nil {
+			broken <- err
+		}
+	}()
+	n.log.Info("listening", zap.String("name", c.Name), zap.String("at", c.Listen),
+		zap.Int("backends", len(c.Known)), zap.Int("peers", len(c.Peers)))
+	return broken, nil
+}
+
+func (n *Node) close() {
+	close(n.done) // edges wait for nobody any longer
+	n.cancel()
+	n.edges.Wait()
+	n.fetches.Close()
+	if n.peers != nil {
+		n.peers.Close()
+	}
+}
+
+// post hands an event to the loop.
+func (n *Node) post(ev reducer.Event) {
+	select {
+	case n.events <- ev:
+	case <-n.done:
+	}
+}
+
+// drain takes what waits already, so that one wake-up serves a batch.
+func (n *Node) drain() {
+	for range inbox {
+		select {
+		case ev := <-n.events:
+			n.step(ev)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) step(ev reducer.Event) { n.carryOut(n.reducer.Step(n.clock.Now(), ev)) }
+
+// carryOut has the edges do what the reducer asks for. None of it waits for a
+// socket.
+func (n *Node) carryOut(effects []reducer.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case reducer.StartFetch:
+			n.fetches.Start(e)
+		case reducer.StopFetch:
+			n.fetches.Stop(e.Fetch)
+		case reducer.Answer:
+			n.front.Answer(e)
+		case reducer.Probe:
+			n.fetches.Probe(e)
+		case reducer.DropBackend:
+			n.fetches.Drop(e.Backend)
+		case reducer.Tell:
+			if n.peers != nil {
+				n.peers.Tell(e.Peer, e.Data)
+			}
+		case reducer.SetTimer:
+			n.timer.Reset(e.At - n.clock.Now())
+		case reducer.Ready:
+			n.front.Ready(e.Is)
+		case reducer.EndSessions:
+			n.front.EndSessions()
+		case reducer.CloseFront:
+			go func() {
+				n.front.Close(e.Within)
+				n.post(reducer.FrontClosed{})
+			}()
+		case reducer.Exit:
+			n.exit = true
+		case reducer.Log:
+			n.log.Info(e.Text)
+		}
+	}
+}
+
+func (n *Node) dump() {
+	n.log.Info("counters", zap.Stringer("phase", n.reducer.Phase()),
+		zap.Any("counts", n.reducer.Counters()), zap.Int("backend_connections", n.fetches.Conns()))
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,107 @@
+// Package peer carries datagrams between limiters. It tells them apart by
+// their source addresses and reads nothing of what they say.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"lemongate/internal/reducer"
+)
+
+const (
+	maxSize = 256 // of a datagram; a longer one breaks the platform's rule
+	waiting = 256 // datagrams that may wait to be written; more are lost, as on the way
+)
+
+// A Link is this limiter's end of the way to its peers.
+type Link struct {
+	conn    *net.UDPConn
+	peers   []netip.AddrPort
+	all     netip.AddrPort
+	numbers map[netip.AddrPort]int
+	queue   chan datagram
+	post    func(reducer.Event)
+	log     *zap.Logger
+}
+
+type datagram struct {
+	to   netip.AddrPort
+	data []byte
+}
+
+// Listen opens the socket. Peers stand in the order of their numbers.
+func Listen(at netip.AddrPort, peers []netip.AddrPort, all netip.AddrPort, post func(reducer.Event), log *zap.Logger) (*Link, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	l := &Link{
+		conn: conn, peers: peers, all: all, numbers: map[netip.AddrPort]int{},
+		queue: make(chan datagram, waiting), post: post, log: log,
+	}
+	for i, p := range peers {
+		l.numbers[plain(p)] = i
+	}
+	return l, nil
+}
+
+// plain makes an IPv4 address equal to itself, however the system writes it.
+func plain(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
+
+// Read posts what comes in until the link is closed.
+func (l *Link) Read() {
+	// One byte more than allowed, so that a longer datagram shows.
+	buf := make([]byte, maxSize+1)
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // such as a refusal that an earlier datagram met: the next read may do
+			l.log.Debug("peer datagram", zap.Error(err))
+			continue
+		}
+		number, known := l.numbers[plain(from)]
+		if !known || n > maxSize {
+			number = -1
+		}
+		l.post(&reducer.Heard{From: number, Data: append([]byte(nil), buf[:n]...)})
+	}
+}
+
+// Write sends what Tell has queued until the link is closed.
+func (l *Link) Write() {
+	for d := range l.queue {
+		if _, err := l.conn.WriteToUDPAddrPort(d.data, d.to); err != nil {
+			l.log.Debug("peer datagram", zap.Error(err))
+		}
+	}
+}
+
+// Tell queues a datagram for a limiter, or for all with a number below 0. It
+// never waits: datagrams may be lost anyway.
+func (l *Link) Tell(number int, data []byte) {
+	to := l.all
+	if number >= 0 && number < len(l.peers) {
+		to = l.peers[number]
+	}
+	if !to.IsValid() || len(data) > maxSize {
+		l.log.Warn("datagram not sent", zap.Int("to", number), zap.Int("bytes", len(data)))
+		return
+	}
+	select {
+	case l.queue <- datagram{to, data}:
+	default:
+	}
+}
+
+// Close ends Read and Write. Tell must not be called after it.
+func (l *Link) Close() error {
+	close(l.queue)
+	return l.conn.Close()
+}
--- /dev/null
+++ b/internal/reducer/events.go
@@ -0,0 +1,173 @@
+// Package reducer holds all that lemongate remembers while it runs, and every
+// change of it: Step takes one event and tells which effects are to be
+// carried out. It does no I/O, reads no clock and starts no goroutine, and it
+// knows nothing of HTTP: whatever protocol stands in front of it puts its reqs
+// into Arrived events and its answers on the wire from Answer effects.
+package reducer
+
+import (
+	"time"
+
+	"lemongate"
+)
+
+// ReqID names a req. The front that took it in chooses it and never reuses it.
+type ReqID = lemongate.RequestID
+
+// A Content is what a req carries or an answer brings. The reducer passes it on
+// unread.
+type Content any
+
+// An Event is something that happened at an edge of the program.
+type Event interface{ event() }
+
+// Arrived tells that a req has come in whole.
+type Arrived struct {
+	lemongate.Request
+	At      time.Duration // when its last byte came
+	Content Content
+}
+
+// Left tells that the client of a req has gone away.
+type Left struct{ Req ReqID }
+
+// Malformed tells of a req that was answered at the edge as no valid one.
+type Malformed struct{}
+
+// FetchEnded brings the outcome of a fetch. Reply counts with Done only.
+type FetchEnded struct {
+	Fetch  FetchID
+	Result lemongate.Result
+	Report []float64
+	Reply  Content
+}
+
+// ProbeEnded brings the outcome of a probe.
+type ProbeEnded struct {
+	Backend string
+	Result  lemongate.Result
+	Latency time.Duration
+	Report  []float64
+}
+
+// Listed brings news of the backends.
+type Listed struct {
+	Kind    lemongate.ListKind
+	Entries []Entry
+}
+
+// An Entry is a backend of the list and where it listens.
+type Entry struct {
+	lemongate.Backend
+	Addr string
+}
+
+// Heard brings a datagram. From is the sender's number, below 0 if unknown.
+type Heard struct {
+	From int
+	Data []byte
+}
+
+// Ticked tells that the time a SetTimer effect named has come.
+type Ticked struct{}
+
+// Terminated tells that the program was asked to end.
+type Terminated struct{}
+
+// FrontClosed tells that the front has shut down, as CloseFront asked.
+type FrontClosed struct{}
+
+func (*Arrived) event()    {}
+func (*Left) event()       {}
+func (Malformed) event()   {}
+func (*FetchEnded) event() {}
+func (*ProbeEnded) event() {}
+func (*Listed) event()     {}
+func (*Heard) event()      {}
+func (Ticked) event()      {}
+func (Terminated) event()  {}
+func (FrontClosed) event() {}
+
+// An Effect is something an edge is to do, in the order given.
+type Effect interface{ effect() }
+
+// FetchID names one attempt of a req.
+type FetchID struct {
+	Req     ReqID
+	Attempt int
+}
+
+// StartFetch sends a req to a backend. The program stops waiting after Wait.
+type StartFetch struct {
+	Fetch   FetchID
+	Backend string
+	Addr    string
+	Wait    time.Duration
+	Content Content
+}
+
+// StopFetch gives a fetch up: its connection is closed, its outcome no longer
+// wanted.
+type StopFetch struct{ Fetch FetchID }
+
+// An AnswerKind says how a req ended.
+type AnswerKind uint8
+
+const (
+	Served  AnswerKind = iota // with a backend's answer
+	Refused                   // synthetic answer: not served, a new try does no harm
+	Failed                    // synthetic answer: not served, it may have run
+)
+
+// Answer gives a req its one final answer.
+type Answer struct {
+	Req        ReqID
+	Kind       AnswerKind
+	RetryAfter time.Duration // with Refused; 0 for no advice
+	Reply      Content       // with Served
+}
+
+// Probe asks a backend for its load.
+type Probe struct{ Backend, Addr string }
+
+// DropBackend ends new sending to a backend that drains, is gone or has
+// started anew: no req's first byte may go out on a connection it has so far.
+type DropBackend struct{ Backend string }
+
+// Tell sends a datagram to a limiter by its number, or to all (below 0).
+type Tell struct {
+	Peer int
+	Data []byte
+}
+
+// SetTimer wants a Ticked event at a time, in place of the one set before.
+type SetTimer struct{ At time.Duration }
+
+// Ready tells that the program may be taken in by clients, or no longer.
+type Ready struct{ Is bool }
+
+// EndSessions asks the front to close each client session between reqs.
+type EndSessions struct{}
+
+// CloseFront asks the front to accept nothing more, answer what it has taken
+// within the time given and tell so by FrontClosed.
+type CloseFront struct{ Within time.Duration }
+
+// Exit ends the program.
+type Exit struct{}
+
+// Log leaves a line for people.
+type Log struct{ Text string }
+
+func (StartFetch) effect()  {}
+func (StopFetch) effect()   {}
+func (Answer) effect()      {}
+func (Probe) effect()       {}
+func (DropBackend) effect() {}
+func (Tell) effect()        {}
+func (SetTimer) effect()    {}
+func (Ready) effect()       {}
+func (EndSessions) effect() {}
+func (CloseFront) effect()  {}
+func (Exit) effect()        {}
+func (Log) effect()         {}
--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,446 @@
+package reducer
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"lemongate"
+	"lemongate/internal/peermsg"
+)
+
+// A Phase is a stage of the program's life.
+type Phase uint8
+
+const (
+	Starting Phase = iota // until discovery has told the list, or a short while
+	Serving
+	Draining // asked to end: still accepts, but keeps no client session
+	Closing  // accepts nothing more, answers what it has taken
+	Stopped
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "serving", "draining", "closing", "stopped"}[p]
+}
+
+// Bounds of the program's life. They are the platform's, not a site's.
+const (
+	settleWithin = 2 * time.Second        // ready by then, whatever discovery does
+	acceptAfter  = 500 * time.Millisecond // new connections go on coming for 0.4 s after SIGTERM
+	killAfter    = 700 * time.Millisecond // SIGKILL comes this long after the longest deadline ...
+	killLeast    = 3 * time.Second        // ... counted as this long at least
+	killMargin   = 200 * time.Millisecond // to be out before
+)
+
+// answerMargin is how long before its deadline a req is answered at the
+// latest, so that the answer is with the client in time.
+const answerMargin = 10 * time.Millisecond
+
+// Config is what a Reducer is told at its start.
+type Config struct {
+	Settings lemongate.Settings
+	Seed     uint64
+	Known    []Entry // the backends as last known; may be old
+}
+
+// A Reducer is the state of the program. It is not safe for concurrent use.
+type Reducer struct {
+	set      lemongate.Settings
+	gate     *lemongate.Gateway
+	phase    Phase
+	now      time.Duration
+	reqs     map[ReqID]*req
+	fetches  map[FetchID]*fetch
+	backends map[string]*Entry // all ever listed
+	timers   timers
+	setAt    time.Duration // the SetTimer that stands
+	count    Counters
+	out      []Effect
+	actions  []lemongate.Action
+	backlog  []lemongate.Event // for the Gateway, after the one it handles
+}
+
+// A req is one that was taken in and is not over or has a fetch out.
+type req struct {
+	id       ReqID
+	effect   lemongate.Effect
+	deadline time.Duration
+	content  Content
+	attempts int
+	maybe    bool // a fetch may have run
+	answered bool // or its client has left
+	open     int  // fetches out
+}
+
+// A fetch is an attempt that is out.
+type fetch struct {
+	req     *req
+	backend string
+	sent    time.Duration
+}
+
+// New returns a Reducer in phase Starting, and the first effects.
+func New(now time.Duration, c Config) (*Reducer, []Effect) {
+	r := &Reducer{
+		set: c.Settings, gate: lemongate.New(c.Settings, c.Seed), now: now, setAt: math.MaxInt64,
+		reqs: map[ReqID]*req{}, fetches: map[FetchID]*fetch{}, backends: map[string]*Entry{},
+	}
+	r.timers.add(timer{at: now + settleWithin, kind: settleTimer})
+	r.listed(&Listed{Kind: lemongate.ListCached, Entries: c.Known})
+	return r, r.finish()
+}
+
+// Phase tells the stage of the program's life.
+func (r *Reducer) Phase() Phase { return r.phase }
+
+// Counters tells the counters as they stand.
+func (r *Reducer) Counters() Counters {
+	c := r.count
+	c.OpenFetches = len(r.fetches)
+	for _, q := range r.reqs {
+		if !q.answered {
+			c.OpenReqs++
+		}
+	}
+	for _, b := range r.backends {
+		if b.State == lemongate.Live {
+			c.LiveBackends++
+		}
+	}
+	return c
+}
+
+// Step takes one event and tells what is to be done. The effects are valid
+// until the next Step.
+func (r *Reducer) Step(now time.Duration, ev Event) []Effect {
+	r.now = max(r.now, now)
+	r.out = r.out[:0]
+	switch ev := ev.(type) {
+	case *Arrived:
+		r.arrived(ev)
+	case *Left:
+		r.left(ev.Req)
+	case Malformed:
+		r.count.Malformed++
+	case *FetchEnded:
+		r.fetchEnded(ev)
+	case *ProbeEnded:
+		r.tell(&lemongate.ProbeResult{Backend: ev.Backend, Result: ev.Result, Latency: ev.Latency, Report: ev.Report})
+	case *Listed:
+		r.listed(ev)
+		if r.phase == Starting {
+			r.enter(Serving)
+		}
+	case *Heard:
+		r.heard(ev)
+	case Ticked:
+		r.setAt = math.MaxInt64
+	case Terminated:
+		if r.phase < Draining {
+			r.enter(Draining)
+		}
+	case FrontClosed:
+		r.enter(Stopped)
+	}
+	r.elapse()
+	return r.finish()
+}
+
+// enter moves on to a phase and asks for what it begins with.
+func (r *Reducer) enter(p Phase) {
+	r.phase = p
+	r.do(Log{Text: "phase " + p.String()})
+	switch p {
+	case Serving:
+		r.do(Ready{Is: true})
+	case Draining:
+		r.do(Ready{Is: false})
+		r.do(EndSessions{})
+		r.timers.add(timer{at: r.now + acceptAfter, kind: graceTimer})
+	case Closing:
+		longest := killLeast
+		for _, c := range r.set.Classes {
+			longest = max(longest, c.Deadline)
+		}
+		r.do(CloseFront{Within: longest + killAfter - acceptAfter - killMargin})
+	case Stopped:
+		r.do(Exit{})
+	}
+}
+
+// elapse sees to all timers that are due.
+func (r *Reducer) elapse() {
+	for {
+		t, ok := r.timers.due(r.now)
+		if !ok {
+			return
+		}
+		switch t.kind {
+		case gatewayTimer:
+			r.tell(&lemongate.Timer{Token: t.text})
+		case deadlineTimer:
+			r.overdue(t.id.Req)
+		case fetchTimer:
+			if r.fetches[t.id] != nil {
+				r.do(StopFetch{Fetch: t.id})
+				r.count.TimedOut++
+				r.closeFetch(t.id, lemongate.TimedOut, nil, false)
+			}
+		case settleTimer:
+			if r.phase == Starting {
+				r.enter(Serving)
+			}
+		case graceTimer:
+			r.enter(Closing)
+		}
+	}
+}
+
+// finish closes a step: one timer stands for the earliest of all.
+func (r *Reducer) finish() []Effect {
+	if len(r.timers) > 0 && r.timers[0].at < r.setAt {
+		r.setAt = r.timers[0].at
+		r.do(SetTimer{At: r.setAt})
+	}
+	return r.out
+}
+
+func (r *Reducer) do(e Effect) { r.out = append(r.out, e) }
+
+// arrived takes a req in and arms its deadline: an answer is owed even if the
+// Gateway stays silent.
+func (r *Reducer) arrived(ev *Arrived) {
+	r.count.Received++
+	q := &req{id: ev.ID, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content}
+	for i := range r.set.Classes {
+		if r.set.Classes[i].Name == ev.Class {
+			q.effect = r.set.Classes[i].Effect
+		}
+	}
+	r.reqs[ev.ID] = q
+	r.timers.add(timer{at: q.deadline, kind: deadlineTimer, id: FetchID{Req: ev.ID}})
+	event := ev.Request
+	event.Budget -= r.now - min(ev.At, r.now)
+	r.tell(&event)
+}
+
+// left books that a client has gone: nothing is owed to it any longer.
+func (r *Reducer) left(id ReqID) {
+	if q := r.reqs[id]; q != nil && !q.answered {
+		r.count.Left++
+		q.answered = true
+		r.tell(&lemongate.Gone{Request: id})
+		r.forget(q)
+	}
+}
+
+// overdue answers a req at its deadline if nothing else has.
+func (r *Reducer) overdue(id ReqID) {
+	q := r.reqs[id]
+	if q == nil || q.answered {
+		return
+	}
+	r.count.Overdue++
+	if q.open == 0 && !q.maybe || q.effect == lemongate.Safe {
+		r.answer(q, Answer{Kind: Refused, RetryAfter: r.set.MaxRetryAfter})
+	} else {
+		r.answer(q, Answer{Kind: Failed})
+	}
+	r.tell(&lemongate.Gone{Request: id})
+	r.forget(q)
+}
+
+// answer gives a req its final answer. Whoever calls it sees to forget.
+func (r *Reducer) answer(q *req, a Answer) {
+	if q.answered {
+		return
+	}
+	q.answered = true
+	a.Req = q.id
+	switch a.Kind {
+	case Served:
+		r.count.Served++
+	case Refused:
+		r.count.Refused++
+	case Failed:
+		r.count.Failed++
+	}
+	r.do(a)
+}
+
+// forget drops a req that is over once none of its fetches is out.
+func (r *Reducer) forget(q *req) {
+	if q.answered && q.open == 0 {
+		delete(r.reqs, q.id)
+	}
+}
+
+// fetchEnded takes the outcome of a fetch in; one that was given up has had
+// its outcome already.
+func (r *Reducer) fetchEnded(ev *FetchEnded) {
+	f := r.fetches[ev.Fetch]
+	if f == nil {
+		return
+	}
+	switch ev.Result {
+	case lemongate.Done:
+		r.answer(f.req, Answer{Kind: Served, Reply: ev.Reply})
+	case lemongate.Errored:
+		r.count.Errored++
+	case lemongate.TurnedAway:
+		r.count.TurnedAway++
+	case lemongate.Unreachable:
+		r.count.Unreachable++
+	case lemongate.Broken:
+		r.count.Broken++
+	}
+	r.closeFetch(ev.Fetch, ev.Result, ev.Report, f.req.answered)
+}
+
+// closeFetch ends a fetch and tells the Gateway of it.
+func (r *Reducer) closeFetch(id FetchID, result lemongate.Result, report []float64, final bool) {
+	f := r.fetches[id]
+	delete(r.fetches, id)
+	f.req.open--
+	f.req.maybe = f.req.maybe || !result.NeverRan()
+	r.tell(&lemongate.Outcome{
+		Request: id.Req, Attempt: id.Attempt, Backend: f.backend, Result: result,
+		Latency: r.now - f.sent, Final: final || f.req.answered, Report: report,
+	})
+	r.forget(f.req)
+}
+
+// listed brings the list up to date. What drains, is gone or has started anew
+// keeps no connection that a new fetch could use.
+func (r *Reducer) listed(ev *Listed) {
+	r.count.Lists++
+	list := &lemongate.List{Kind: ev.Kind}
+	named := map[string]bool{}
+	for _, e := range ev.Entries {
+		named[e.ID] = true
+		list.Backends = append(list.Backends, e.Backend)
+		old := r.backends[e.ID]
+		if old != nil && (e.State != lemongate.Live || e.Started != old.Started || e.Addr != old.Addr) {
+			r.do(DropBackend{Backend: e.ID})
+		}
+		if old != nil && e.Addr == "" { // one that is gone may come without
+			e.Addr = old.Addr
+		}
+		r.backends[e.ID] = &e
+	}
+	if ev.Kind == lemongate.ListFull || ev.Kind == lemongate.ListCached {
+		var missing []string
+		for id, b := range r.backends {
+			if !named[id] && b.State != lemongate.Dead {
+				missing = append(missing, id)
+			}
+		}
+		slices.Sort(missing) // in the same order every time
+		for _, id := range missing {
+			r.backends[id].State = lemongate.Dead
+			r.do(DropBackend{Backend: id})
+		}
+	}
+	r.tell(list)
+}
+
+// heard hands a datagram on. It may hold anything: what is not one of a peer's
+// messages is counted and dropped.
+func (r *Reducer) heard(ev *Heard) {
+	if _, ok := peermsg.Parse(ev.Data); !ok || ev.From < 0 || ev.From >= r.set.Gateways {
+		r.count.PeerBad++
+		return
+	}
+	r.count.PeerIn++
+	r.tell(&lemongate.PeerMessage{From: ev.From, Data: ev.Data})
+}
+
+// tell hands an event to the Gateway and turns its actions into effects. What
+// these bring about at once (a fetch that is not sent, one that is called off)
+// the Gateway is told after them, as it would be by an edge.
+func (r *Reducer) tell(ev lemongate.Event) {
+	r.backlog = append(r.backlog, ev)
+	if len(r.backlog) > 1 {
+		return // the loop below, further up the stack, gets there
+	}
+	for len(r.backlog) > 0 {
+		r.actions = r.gate.Handle(r.now, r.backlog[0], r.actions[:0])
+		for _, a := range r.actions {
+			r.act(a)
+		}
+		r.backlog = r.backlog[1:]
+	}
+	r.backlog = nil
+}
+
+func (r *Reducer) act(action lemongate.Action) {
+	switch a := action.(type) {
+	case lemongate.Send:
+		r.send(a)
+	case lemongate.Refuse:
+		r.end(a.Request, Answer{Kind: Refused, RetryAfter: a.After})
+	case lemongate.Fail:
+		r.end(a.Request, Answer{Kind: Failed})
+	case lemongate.Cancel:
+		if id := (FetchID{a.Request, a.Attempt}); r.fetches[id] != nil {
+			r.do(StopFetch{Fetch: id})
+			r.closeFetch(id, lemongate.Canceled, nil, false)
+		}
+	case lemongate.Wake:
+		r.timers.add(timer{at: a.At, kind: gatewayTimer, text: a.Token})
+	case lemongate.Tell:
+		r.count.PeerOut++
+		r.do(Tell{Peer: a.Peer, Data: a.Data})
+	case lemongate.Probe:
+		if b := r.backends[a.Backend]; b != nil && b.State == lemongate.Live {
+			r.count.Probes++
+			r.do(Probe{Backend: b.ID, Addr: b.Addr})
+		}
+	case lemongate.Watch: // discovery is always watched here
+	case lemongate.Log:
+		r.do(Log{Text: a.Text})
+	default:
+		r.do(Log{Text: fmt.Sprintf("unknown action %T", a)})
+	}
+}
+
+// end answers a req as the Gateway wants it answered.
+func (r *Reducer) end(id ReqID, a Answer) {
+	if q := r.reqs[id]; q != nil {
+		r.answer(q, a)
+		r.forget(q)
+	}
+}
+
+// send starts a fetch, unless it comes too late or would be one too many; then
+// the Gateway hears that it was not sent.
+func (r *Reducer) send(a lemongate.Send) {
+	q, b := r.reqs[a.Request], r.backends[a.Backend]
+	if q == nil {
+		return
+	}
+	id := FetchID{q.id, q.attempts}
+	q.attempts++
+	until := q.deadline
+	if a.GiveUp > 0 {
+		until = min(until, a.GiveUp)
+	}
+	unfit := b == nil || b.State != lemongate.Live || b.Addr == ""
+	if q.answered || until <= r.now || q.attempts > max(r.set.MaxAttempts, 1) || unfit {
+		r.count.NotSent++
+		r.tell(&lemongate.Outcome{
+			Request: q.id, Attempt: id.Attempt, Backend: a.Backend, Result: lemongate.NotSent, Final: q.answered,
+		})
+		return
+	}
+	r.count.Fetched++
+	if id.Attempt > 0 {
+		r.count.Retries++
+	}
+	q.open++
+	r.fetches[id] = &fetch{req: q, backend: b.ID, sent: r.now}
+	r.timers.add(timer{at: until, kind: fetchTimer, id: id})
+	r.do(StartFetch{Fetch: id, Backend: b.ID, Addr: b.Addr, Wait: until - r.now, Content: q.content})
+}
--- /dev/null
+++ b/internal/reducer/timers.go
@@ -0,0 +1,48 @@
+package reducer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// A timer is something that falls due at a time.
+type timer struct {
+	at   time.Duration
+	kind timerKind
+	id   FetchID // for a deadline its Req, for a fetch all of it
+	text string  // token of the Gateway
+}
+
+type timerKind uint8
+
+const (
+	gatewayTimer  timerKind = iota // a Wake that the Gateway asked for
+	deadlineTimer                  // a req must have its answer
+	fetchTimer                     // a fetch is not waited for any longer
+	settleTimer                    // ready, even if discovery is silent
+	graceTimer                     // after SIGTERM: accept nothing more
+)
+
+// timers is a heap, the earliest first.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
+
+func (t *timers) add(x timer) { heap.Push(t, x) }
+
+// due takes the earliest timer out if its time has come.
+func (t *timers) due(now time.Duration) (timer, bool) {
+	if len(*t) == 0 || (*t)[0].at > now {
+		return timer{}, false
+	}
+	return heap.Pop(t).(timer), true
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,13 +1,25 @@
 package wire
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
 
 	"lemongate"
 )
 
+// Settings are what a limiter is told at its start: what the Gateway decides
+// by, and what only a program on sockets needs.
+type Settings struct {
+	lemongate.Settings
+	ConnectTimeout time.Duration // a connection that takes longer has failed
+	IdleClose      time.Duration // a backend closes a connection at the latest when idle for this long
+	MostUnits      float64       // the most that one request takes from a quota; 0 if not told
+}
+
 // facts is the part of the settings that a Gateway uses, as it stands on the
 // wire. Keys that are not here are skipped.
 type facts struct {
@@ -25,6 +37,7 @@
 	} `json:"clients"`
 	Family struct {
 		PeerInPerS float64 `json:"peer_in_per_s"`
+		MostUnits  float64 `json:"most_units"`
 	} `json:"family_info"`
 	Allowed struct {
 		MaxAttempts   int     `json:"max_attempts"`
@@ -33,6 +46,8 @@
 		Peers         bool    `json:"peers"`
 		RetryAfter    bool    `json:"retry_after"`
 		MaxRetryAfter float64 `json:"max_retry_after_s"`
+		ConnectS      float64 `json:"connect_timeout_s"`
+		IdleS         float64 `json:"idle_close_s"`
 	} `json:"allowed"`
 	Rules struct {
 		DrainGrace   float64 `json:"drain_grace_s"`
@@ -76,17 +91,21 @@
 	"": lemongate.GroupCell,
 }
 
-// decodeSettings reads the settings object.
-func decodeSettings(text string) (lemongate.Settings, error) {
+// DecodeSettings reads the settings object, as the simulator sends it and as
+// a real limiter finds it in its configuration.
+func DecodeSettings(text []byte) (Settings, error) {
 	var f facts
-	var none lemongate.Settings
-	if err := json.Unmarshal([]byte(text), &f); err != nil {
-		return none, err
+	var none Settings
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &f); err != nil {
+		return none, fmt.Errorf("bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 	}
 	if len(f.Classes) == 0 {
 		return none, errors.New("no classes")
 	}
-	s := lemongate.Settings{
+	s := Settings{
+		ConnectTimeout: seconds(f.Allowed.ConnectS), IdleClose: seconds(f.Allowed.IdleS), MostUnits: f.Family.MostUnits,
+	}
+	s.Settings = lemongate.Settings{
 		Self: f.Me, Gateways: f.Siblings, Zone: f.Zone, Tick: seconds(f.Granularity),
 		MarksRetry: f.Clients.MarksRetry, MaxAttempts: f.Allowed.MaxAttempts, MayCancel: f.Allowed.MayCancel, MayProbe: f.Allowed.Probes,
 		MayTell: f.Allowed.Peers, PeerInPerSec: f.Family.PeerInPerS,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -118,12 +118,12 @@
 	switch verb {
 	case "power_on":
 		seed := f.seed(2)
-		settings, err := decodeSettings(f.parts[3])
+		settings, err := DecodeSettings([]byte(f.parts[3]))
 		if err != nil {
 			return fmt.Errorf("power_on: settings: %w", err)
 		}
 		if f.err == nil {
-			s.gates[door] = lemongate.New(settings, seed)
+			s.gates[door] = lemongate.New(settings.Settings, seed)
 		}
 		return f.err
 	case "halt":
