Test every package of the real limiter; drop datagrams to numbers there are not

Tests: a rapid model of client sessions and fetches against the reducer, outcomes by what was written, no resending by http.Transport, drops, drains, malformed reqs and datagrams, the watch, the configuration, and the whole program from start to exit.

Found by TestLink: peer.Tell sent a datagram for an unknown number to all (internal/peer/peer.go, the default of 'to' was the broadcast address). It is dropped now.

--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,166 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lemongate"
+	"lemongate/internal/reducer"
+)
+
+const listText = `{"generation":41,"reset":true,"instances":[
+	{"instanceId":"s-1","hostPort":"127.0.0.1:8443","zone":"a","machineType":"m2","cell":3,"lifecycle":"up","weight":1.5,"startedAtMs":0},
+	{"instanceId":"s-2","hostPort":"127.0.0.1:8444","zone":"b","cell":4,"lifecycle":"draining","weight":1,"startedAtMs":1000500},
+	{"instanceId":"s-3","lifecycle":"removed","startedAtMs":7}]}`
+
+// Unix milliseconds become times of the program's clock; a start before its
+// zero is long ago.
+func TestDecode(t *testing.T) {
+	list, generation, err := Decode([]byte(listText), time.UnixMilli(1_000_000))
+	want := &reducer.Listed{Kind: lemongate.ListFull, Entries: []reducer.Entry{
+		{Addr: "127.0.0.1:8443", Backend: lemongate.Backend{ID: "s-1", Zone: "a", Cell: 3, Size: 1.5}},
+		{Addr: "127.0.0.1:8444", Backend: lemongate.Backend{
+			ID: "s-2", Zone: "b", Cell: 4, State: lemongate.Draining, Size: 1, Started: 500 * time.Millisecond,
+		}},
+		{Backend: lemongate.Backend{ID: "s-3", State: lemongate.Dead}},
+	}}
+	if err != nil || generation != 41 || !reflect.DeepEqual(list, want) {
+		t.Errorf("%+v, %d, %v", list, generation, err)
+	}
+}
+
+func TestDecodeMalformed(t *testing.T) {
+	for text, want := range map[string]string{
+		"{\n\n": "bad JSON",
+		`{"instances":[{"instanceId":"x","lifecycle":"odd"}]}`:                       "unknown lifecycle",
+		`{"instances":[{"lifecycle":"up","hostPort":"h:1"}]}`:                        "unknown lifecycle",
+		`{"instances":[{"instanceId":"x","lifecycle":"up","hostPort":"127.0.0.1"}]}`: "missing port",
+	} {
+		_, _, err := Decode([]byte(text), time.Time{})
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
+
+// agent plays discovery: it hands each watch to the test.
+type agent struct {
+	watches chan watch
+	server  *httptest.Server
+}
+
+// A watch is one that was asked for. It ends when its lines are closed.
+type watch struct {
+	query string
+	lines chan string
+	gone  <-chan struct{}
+}
+
+func newAgent(t *testing.T) *agent {
+	a := &agent{watches: make(chan watch)}
+	a.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lines := make(chan string)
+		a.watches <- watch{r.URL.RequestURI(), lines, r.Context().Done()}
+		for {
+			select {
+			case text, more := <-lines:
+				if !more {
+					return
+				}
+				io.WriteString(w, text)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(a.server.Close)
+	return a
+}
+
+func (a *agent) watcher(t *testing.T, change func(*Watcher)) <-chan reducer.Event {
+	events := make(chan reducer.Event, 8)
+	w := &Watcher{
+		Addr: a.server.Listener.Addr().String(), Index: 7, Log: zap.NewNop(),
+		Post: func(ev reducer.Event) { events <- ev }, Pause: func(time.Duration) {},
+	}
+	if change != nil {
+		change(w)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() {
+		w.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return events
+}
+
+const change = `{"generation":%,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"up"}]}` + "\n"
+
+// A watch resumes after the last version it brought, skips the empty lines,
+// and asks for the whole list once a line made no sense.
+func TestResume(t *testing.T) {
+	a := newAgent(t)
+	events := a.watcher(t, nil)
+	first := <-a.watches
+	first.lines <- "\n" + strings.Replace(change, "%", "43", 1) + "\n\n"
+	if ev := (<-events).(*reducer.Listed); ev.Kind != lemongate.ListChanges || len(ev.Entries) != 1 {
+		t.Errorf("%+v", ev)
+	}
+	close(first.lines)
+	second := <-a.watches
+	second.lines <- "nonsense\n"
+	third := <-a.watches
+	third.lines <- strings.ReplaceAll(listText, "\n", "") + "\n"
+	if ev := (<-events).(*reducer.Listed); ev.Kind != lemongate.ListFull {
+		t.Errorf("%+v", ev)
+	}
+	for i, c := range []struct{ got, index string }{{first.query, "7"}, {second.query, "43"}, {third.query, "0"}} {
+		if want := "/v1/endpoints?stream=1&index=" + c.index; c.got != want {
+			t.Errorf("watch %d asked %s, want %s", i, c.got, want)
+		}
+	}
+}
+
+// A stream on which not even empty lines come is given up: TCP does not notice
+// that a machine has been cut off. A stream with empty lines is kept.
+func TestSilence(t *testing.T) {
+	a := newAgent(t)
+	a.watcher(t, func(w *Watcher) { w.Silent = 20 * time.Millisecond })
+	first := <-a.watches
+	<-first.gone
+	<-a.watches
+}
+
+// Pauses between failed watches grow up to a bound, and start again from the
+// least once a watch has brought something.
+func TestBackoff(t *testing.T) {
+	a := newAgent(t)
+	pauses := make(chan time.Duration, 1)
+	a.watcher(t, func(w *Watcher) { w.Pause = func(d time.Duration) { pauses <- d } })
+	for _, want := range []int{200, 400, 800, 1600, 2000, 2000} {
+		close((<-a.watches).lines)
+		if got := <-pauses; got != time.Duration(want)*time.Millisecond {
+			t.Errorf("pause %v, want %d ms", got, want)
+		}
+	}
+	good := <-a.watches
+	good.lines <- strings.Replace(change, "%", "8", 1)
+	close(good.lines)
+	if got := <-pauses; got != backoffFrom {
+		t.Errorf("pause %v after a good watch", got)
+	}
+}
--- /dev/null
+++ b/internal/fetch/fetch_test.go
@@ -0,0 +1,415 @@
+package fetch
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"lemongate"
+	"lemongate/internal/reducer"
+)
+
+// script is a backend that plays one line of behaviour per req, and tells
+// which reqs came whole and on which connection.
+type script struct {
+	listener net.Listener
+	reqs     chan seen
+	ended    chan int // connections whose client closed them
+}
+
+type seen struct {
+	conn int
+	req  *http.Request
+	body string
+}
+
+// play starts a backend that answers the nth req with the nth text; a text
+// that is empty closes the connection instead, and "silent" says nothing.
+func play(t *testing.T, answers ...string) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &script{listener: l, reqs: make(chan seen, 16), ended: make(chan int, 16)}
+	next := make(chan string, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, n, next)
+		}
+	}()
+	return s
+}
+
+func (s *script) serve(c net.Conn, n int, next chan string) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			s.ended <- n
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.reqs <- seen{n, r, string(body)}
+		answer := <-next
+		switch answer {
+		case "":
+			return
+		case "silent":
+			continue
+		}
+		io.WriteString(c, answer)
+		if strings.HasSuffix(answer, "cut off") {
+			return
+		}
+	}
+}
+
+func whole(status, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+type rig struct {
+	*Pool
+	events chan reducer.Event
+	addr   string
+	n      reducer.ReqID
+}
+
+func pool(addr string, change ...func(*Options)) *rig {
+	events := make(chan reducer.Event, 16)
+	opt := Options{
+		ConnectTimeout: time.Second, IdleClose: time.Minute, Fields: []string{"latency_ms", "util"},
+		IdlePerBackend: 4, Post: func(ev reducer.Event) { events <- ev },
+	}
+	for _, c := range change {
+		c(&opt)
+	}
+	return &rig{Pool: New(opt), events: events, addr: addr}
+}
+
+func (r *rig) start(in *Req) reducer.FetchID {
+	r.n++
+	id := reducer.FetchID{Req: r.n}
+	r.Start(reducer.StartFetch{Fetch: id, Backend: "b", Addr: r.addr, Wait: 1234 * time.Millisecond, Content: in})
+	return id
+}
+
+func (r *rig) fetch(in *Req) *reducer.FetchEnded {
+	r.start(in)
+	return (<-r.events).(*reducer.FetchEnded)
+}
+
+var get = &Req{Method: "GET", URI: "/read/00000000b4d65521", Host: "backend.local", CallID: "id1"}
+
+// What came back, or did not, is told as what it proves.
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", maxBody+1)
+	for name, c := range map[string]struct {
+		answer string
+		want   lemongate.Result
+		report []float64
+	}{
+		"served":           {whole("200 OK", "X-Load-Report: TEXT util=0.5, latency_ms=7\r\n", "hello"), lemongate.Done, []float64{7, 0.5}},
+		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", lemongate.Done, nil},
+		"error":            {whole("500 Oops", "X-Load-Report: TEXT util=1, latency_ms=9\r\n", ""), lemongate.Errored, []float64{9, 1}},
+		"rejected 503":     {whole("503 Full", "X-Rejected: 1\r\n", ""), lemongate.TurnedAway, nil},
+		"rejected 504":     {whole("504 Over", "X-Rejected: 1\r\n", ""), lemongate.TurnedAway, nil},
+		"503 of who knows": {whole("503 Full", "", ""), lemongate.Errored, nil},
+		"rejected 500":     {whole("500 Oops", "X-Rejected: 1\r\n", ""), lemongate.Errored, nil},
+		"redirect":         {whole("302 Found", "Location: /elsewhere\r\n", ""), lemongate.Errored, nil},
+		"closed":           {"", lemongate.Broken, nil},
+		"cut off":          {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ncut off", lemongate.Broken, nil},
+		"chunk cut off":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n99\r\ncut off", lemongate.Broken, nil},
+		"too long":         {whole("200 OK", "", long), lemongate.Broken, nil},
+		"too many chunks":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + long + "\r\n0\r\n\r\n", lemongate.Broken, nil},
+		"no HTTP":          {"what?\r\n\r\n", lemongate.Broken, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pool(play(t, c.answer).listener.Addr().String())
+			defer p.Close()
+			got := p.fetch(get)
+			if got.Result != c.want || !reflect.DeepEqual(got.Report, c.report) {
+				t.Errorf("result %v, report %v; want %v, %v", got.Result, got.Report, c.want, c.report)
+			}
+			if got.Result == lemongate.Done && string(got.Reply.(*Reply).Body) != "hello" {
+				t.Errorf("body %q", got.Reply.(*Reply).Body)
+			}
+		})
+	}
+}
+
+// A refused connection proves that the req never ran.
+func TestRefused(t *testing.T) {
+	s := play(t)
+	s.listener.Close()
+	if got := pool(s.listener.Addr().String()).fetch(get); got.Result != lemongate.Unreachable {
+		t.Errorf("result %v", got.Result)
+	}
+}
+
+// http.Transport sends a GET, and whatever has Idempotency-Key, again by itself
+// when a kept connection breaks: an attempt that nobody decided on.
+func TestNotSentAgain(t *testing.T) {
+	for name, in := range map[string]*Req{
+		"GET":   get,
+		"keyed": {Method: "POST", URI: get.URI, Host: get.Host, CallID: "id2", Key: "k", Body: []byte("x")},
+		"empty": {Method: "POST", URI: get.URI, Host: get.Host, CallID: "id3", Key: "k"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := play(t, whole("200 OK", "", ""), "", whole("200 OK", "", ""))
+			p := pool(s.listener.Addr().String())
+			defer p.Close()
+			p.fetch(in)
+			if got := p.fetch(in); got.Result != lemongate.Broken {
+				t.Errorf("result %v, want broken", got.Result)
+			}
+			first, second := <-s.reqs, <-s.reqs
+			if first.conn != second.conn {
+				t.Fatal("the connection was not kept, so nothing was shown")
+			}
+			if len(s.reqs) != 0 {
+				t.Errorf("sent again: %v", <-s.reqs)
+			}
+		})
+	}
+}
+
+// What names and identifies a req passes on as it came, and nothing is added
+// that would change the answer.
+func TestPassedOn(t *testing.T) {
+	s := play(t, whole("200 OK", "Content-Type: a/b\r\n", "x"))
+	p := pool(s.listener.Addr().String())
+	defer p.Close()
+	in := &Req{
+		Method: "POST", URI: "/post//a%2Fb/../00000000b4d65521?q=%41&&;x", Host: "backend.local",
+		CallID: "9b1f03aa5c7e2d41", Key: "5c0f", Type: "text/x", Body: []byte("12345"),
+	}
+	if reply := p.fetch(in).Reply.(*Reply); reply.Type != "a/b" {
+		t.Errorf("type %q", reply.Type)
+	}
+	got := <-s.reqs
+	want := http.Header{
+		"X-Call-Id": {in.CallID}, "Idempotency-Key": {in.Key}, "Content-Type": {in.Type},
+		"X-Budget": {"1234m"}, "Content-Length": {"5"},
+	}
+	if got.req.Method != in.Method || got.req.RequestURI != in.URI || got.req.Host != in.Host ||
+		got.body != "12345" || !reflect.DeepEqual(got.req.Header, want) {
+		t.Errorf("%s %s %s %q %v", got.req.Method, got.req.RequestURI, got.req.Host, got.body, got.req.Header)
+	}
+}
+
+// A fetch that is given up closes its connection: the backend is told, and a
+// machine that has gone silent gets no further req on it.
+func TestStop(t *testing.T) {
+	s := play(t, "silent", whole("200 OK", "", ""))
+	p := pool(s.listener.Addr().String())
+	defer p.Close()
+	id := p.start(get)
+	<-s.reqs
+	p.Stop(id)
+	if conn := <-s.ended; conn != 0 {
+		t.Errorf("connection %d ended", conn)
+	}
+	if got := p.fetch(get); got.Result != lemongate.Done || got.Fetch == id {
+		t.Errorf("next outcome %+v", got)
+	}
+	if conn := (<-s.reqs).conn; conn != 1 {
+		t.Errorf("the given-up connection was used again")
+	}
+}
+
+// Stopping a fetch whose connection carries another one by now must not end
+// that one.
+func TestStopSparesTheNext(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near, backend: &backend{}, closed: func() {}}
+	old, next := &fetch{}, &fetch{}
+	c.begin(old)
+	c.begin(next)
+	c.giveUp(old)
+	go c.Write([]byte("x"))
+	if _, err := io.ReadFull(far, make([]byte, 1)); err != nil {
+		t.Errorf("the next fetch was cut off: %v", err)
+	}
+}
+
+// A dropped backend keeps no idle connection, and its next life gets new ones.
+func TestDropClosesIdle(t *testing.T) {
+	s := play(t, whole("200 OK", "", ""), whole("200 OK", "", ""))
+	p := pool(s.listener.Addr().String())
+	defer p.Close()
+	p.fetch(get)
+	p.Drop("b")
+	if conn := <-s.ended; conn != 0 {
+		t.Errorf("connection %d ended", conn)
+	}
+	p.fetch(get)
+	if <-s.reqs; (<-s.reqs).conn != 1 {
+		t.Error("sent on a connection of before the drop")
+	}
+}
+
+// What a dropped backend is answering goes on, and its connection goes after.
+func TestDropLetsFinish(t *testing.T) {
+	hold, answer := make(chan bool), whole("200 OK", "", "")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		c, _ := l.Accept()
+		in := bufio.NewReader(c)
+		http.ReadRequest(in)
+		hold <- true
+		<-hold
+		io.WriteString(c, answer)
+		_, err := in.ReadByte()
+		ended <- err
+	}()
+	p := pool(l.Addr().String())
+	p.start(get)
+	<-hold
+	p.Drop("b")
+	hold <- true
+	if got := (<-p.events).(*reducer.FetchEnded); got.Result != lemongate.Done {
+		t.Errorf("result %v", got.Result)
+	}
+	if err := <-ended; err != io.EOF {
+		t.Errorf("connection ended with %v", err)
+	}
+}
+
+// A fetch that is still dialling or queued when its backend is dropped writes
+// no byte, and is told as one that never ran.
+func TestDropBeforeFirstByte(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	b := &backend{}
+	c, f := &conn{Conn: near, backend: b, closed: func() {}}, &fetch{}
+	c.begin(f)
+	f.conn.Store(c)
+	f.wrote.Store(true) // into the buffer, as http.Transport tells it
+	b.dropped.Store(true)
+	if n, err := c.Write([]byte("GET")); n != 0 || !errors.Is(err, errDropped) {
+		t.Errorf("wrote %d bytes, %v", n, err)
+	}
+	p := pool("")
+	if got := p.broken(f); got != lemongate.Unreachable {
+		t.Errorf("result %v", got)
+	}
+}
+
+// A break before the last byte proves that the req never ran, though
+// http.Transport says it was written once it is in the buffer.
+func TestBrokenWhileWriting(t *testing.T) {
+	near, far := net.Pipe()
+	c, f := &conn{Conn: near, backend: &backend{}, closed: func() {}}, &fetch{}
+	c.begin(f)
+	f.conn.Store(c)
+	f.wrote.Store(true)
+	go func() {
+		io.ReadFull(far, make([]byte, 2))
+		far.Close()
+	}()
+	c.Write([]byte("GET"))
+	if got := pool("").broken(f); got != lemongate.Unreachable {
+		t.Errorf("result %v", got)
+	}
+}
+
+// Connections stay within the bound, and are counted out when they end.
+func TestMostConns(t *testing.T) {
+	s := play(t, "silent", whole("200 OK", "", ""))
+	p := pool(s.listener.Addr().String(), func(o *Options) { o.MostConns = 1 })
+	defer p.Close()
+	id := p.start(get)
+	<-s.reqs
+	if got := p.fetch(get); got.Result != lemongate.Unreachable || p.Conns() != 1 {
+		t.Errorf("result %v with %d connections", got.Result, p.Conns())
+	}
+	p.Stop(id)
+	if got := p.fetch(get); got.Result != lemongate.Done {
+		t.Errorf("result %v", got.Result)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   lemongate.Result
+		report []float64
+	}{
+		"header": {whole("200 OK", "X-Load-Report: TEXT util=0.5, latency_ms=7\r\n", "ok"), lemongate.Done, []float64{7, 0.5}},
+		"body":   {whole("200 OK", "", "TEXT latency_ms=3, util=0.25\n"), lemongate.Done, []float64{3, 0.25}},
+		"ill":    {whole("503 Ill", "", ""), lemongate.Errored, nil},
+		"closed": {"", lemongate.Unreachable, nil},
+	} {
+		s := play(t, c.answer)
+		p := pool(s.listener.Addr().String())
+		p.Probe(reducer.Probe{Backend: "b", Addr: p.addr})
+		got := (<-p.events).(*reducer.ProbeEnded)
+		if got.Result != c.want || !reflect.DeepEqual(got.Report, c.report) || got.Backend != "b" {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if path := (<-s.reqs).req.RequestURI; path != "/status/load" {
+			t.Errorf("%s: probed %s", name, path)
+		}
+		p.Close()
+	}
+}
+
+func TestParseReport(t *testing.T) {
+	fields := []string{"latency_ms", "util"}
+	for text, want := range map[string][]float64{
+		"TEXT latency_ms=12.5, util=0.61":         {12.5, 0.61},
+		"TEXT util=0.61,latency_ms=12.5, queue=2": {12.5, 0.61},
+		"TEXT latency_ms=12.5":                    nil,
+		"TEXT latency_ms=x, util=0.61":            nil,
+		"TEXT latency_ms=NaN, util=0.61":          nil,
+		"latency_ms=12.5, util=0.61":              nil,
+		"":                                        nil,
+		"TEXT ,=,,":                               nil,
+		`JSON {"latency_ms": 12.5, "util": 0.61}`: nil,
+	} {
+		if got := parseReport(text, fields); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
+// A body of known length is read to its end, so that its connection is kept.
+func TestReadBodyKeepsConnection(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), maxBody)
+	s := play(t, whole("200 OK", "", string(body)), whole("200 OK", "", ""))
+	p := pool(s.listener.Addr().String())
+	defer p.Close()
+	if got := p.fetch(get).Reply.(*Reply); !bytes.Equal(got.Body, body) {
+		t.Errorf("%d bytes", len(got.Body))
+	}
+	p.fetch(get)
+	if a, b := <-s.reqs, <-s.reqs; a.conn != b.conn {
+		t.Error("a new connection was made")
+	}
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,258 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lemongate"
+	"lemongate/internal/fetch"
+	"lemongate/internal/reducer"
+)
+
+type rig struct {
+	*Front
+	addr   string
+	events chan reducer.Event
+}
+
+func serve(t *testing.T) *rig {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{addr: l.Addr().String(), events: make(chan reducer.Event, 16)}
+	r.Front = New(Options{
+		Settings: lemongate.Settings{
+			Gateways: 3,
+			Classes:  []lemongate.Class{{Name: "read"}, {Name: "post"}},
+			Plans:    []lemongate.Plan{{Name: "team"}},
+		},
+		MostUnits: 4,
+		Now:       func() time.Duration { return 42 },
+		Post:      func(ev reducer.Event) { r.events <- ev },
+		Log:       zap.NewNop(),
+	})
+	go r.Serve(l)
+	t.Cleanup(func() { r.server.Close() })
+	return r
+}
+
+// session is a client session: one connection.
+type session struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (r *rig) session(t *testing.T) *session {
+	t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &session{t, c, bufio.NewReader(c)}
+}
+
+func (s *session) send(text string) { io.WriteString(s.conn, strings.ReplaceAll(text, "\n", "\r\n")) }
+
+func (s *session) answer() (*http.Response, string) {
+	s.t.Helper()
+	resp, err := http.ReadResponse(s.in, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+const goodHead = `POST /post/x/00000000b4d65521?q=%41 HTTP/1.1
+Host: backend.local
+X-Call-Id: 9b1f03aa5c7e2d41
+Plan: team
+X-Budget: 480m
+Idempotency-Key: 5c0f
+Quota-Info: units=2,spread=3,first=1
+X-Again: 1
+Content-Type: text/x
+`
+
+const good = goodHead + "Content-Length: 5\n\n12345"
+
+// A req is worded as an event, with all that its fetches pass on.
+func TestTakenIn(t *testing.T) {
+	r := serve(t)
+	s := r.session(t)
+	s.send(good)
+	ev := (<-r.events).(*reducer.Arrived)
+	want := lemongate.Request{
+		ID: ev.ID, Class: "post", Plan: "team", Customer: "00000000b4d65521", Units: 2,
+		Budget: 480 * time.Millisecond, First: 1, Spread: 3, Retry: true,
+	}
+	if ev.Request != want || ev.At != 42 {
+		t.Errorf("%+v", ev)
+	}
+	in := *ev.Content.(*fetch.Req)
+	if string(in.Body) != "12345" {
+		t.Errorf("body %q", in.Body)
+	}
+	in.Body = nil
+	if got, want := fmt.Sprint(in), fmt.Sprint(fetch.Req{
+		Method: "POST", URI: "/post/x/00000000b4d65521?q=%41", Host: "backend.local",
+		CallID: "9b1f03aa5c7e2d41", Key: "5c0f", Type: "text/x",
+	}); got != want {
+		t.Errorf("%s", got)
+	}
+	r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Served, Reply: &fetch.Reply{Body: []byte("yes")}})
+	r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Failed}) // a second one goes nowhere
+	if resp, body := s.answer(); resp.StatusCode != 200 || body != "yes" || resp.Header["Content-Type"] != nil {
+		t.Errorf("%v %q", resp, body)
+	}
+	s.send(good) // the client session goes on, under a new id
+	if again := (<-r.events).(*reducer.Arrived); again.ID == ev.ID {
+		t.Error("an id given twice")
+	}
+}
+
+// A synthetic answer says whether a new try does harm, and when to come back.
+func TestSyntheticAnswers(t *testing.T) {
+	r := serve(t)
+	s := r.session(t)
+	for _, c := range []struct {
+		answer reducer.Answer
+		status int
+		retry  string
+	}{
+		{reducer.Answer{Kind: reducer.Refused, RetryAfter: 250 * time.Millisecond}, 429, "0.250"},
+		{reducer.Answer{Kind: reducer.Refused}, 429, ""},
+		{reducer.Answer{Kind: reducer.Failed, RetryAfter: time.Second}, 502, ""},
+	} {
+		s.send(good)
+		c.answer.Req = (<-r.events).(*reducer.Arrived).ID
+		r.Answer(c.answer)
+		if resp, _ := s.answer(); resp.StatusCode != c.status || resp.Header.Get("Retry-After") != c.retry {
+			t.Errorf("%+v: %d, Retry-After %q", c.answer, resp.StatusCode, resp.Header.Get("Retry-After"))
+		}
+	}
+}
+
+// What is no valid req is answered 4xx at once, but not as a refusal, counted,
+// and never reaches the reducer.
+func TestMalformed(t *testing.T) {
+	r := serve(t)
+	for _, c := range []struct {
+		old, new string
+		status   int
+	}{
+		{"X-Call-Id: 9b1f03aa5c7e2d41\n", "", 400},
+		{"Plan: team", "Plan: gold", 400},
+		{"Plan: team\n", "", 400},
+		{"/post/", "/put/", 404},
+		{"/post/x/00000000b4d65521", "/", 404},
+		{"/post/x/00000000b4d65521", "/post", 404},
+		{"00000000b4d65521", "b4d65521", 404},
+		{"00000000b4d65521", "00000002b4d65521", 404}, // not below 2^33
+		{"00000000b4d65521", "0000000xb4d65521", 404},
+		{"480m", "480", 400}, {"480m", "480s", 400}, {"480m", "0m", 400}, {"480m", "-1m", 400},
+		{"480m", "NaNm", 400}, {"480m", "1e300m", 400}, {"480m", "m", 400}, {"X-Budget: 480m\n", "", 400},
+		{"units=2", "units=0", 400}, {"units=2", "units=-1", 400}, {"units=2", "units=NaN", 400},
+		{"units=2", "units=5", 400}, {"units=2,", "", 400}, {"spread=3", "spread=0", 400},
+		{"first=1", "first=3", 400}, {"first=1", "first=-1", 400}, {"first=1", "first=x", 400},
+		{"Content-Length: 5\n\n12345", "Content-Length: 65537\n\n", 413},
+		{"Content-Length: 5\n\n12345", "Transfer-Encoding: chunked\n\n10001\n" + strings.Repeat("x", 65537) + "\n0\n\n", 413},
+	} {
+		s := r.session(t)
+		if !strings.Contains(good, c.old) {
+			t.Fatalf("%q is not there", c.old)
+		}
+		s.send(strings.Replace(good, c.old, c.new, 1))
+		if resp, _ := s.answer(); resp.StatusCode != c.status {
+			t.Errorf("%.40q for %q: %d, want %d", c.new, c.old, resp.StatusCode, c.status)
+		}
+		if ev := <-r.events; ev != (reducer.Malformed{}) {
+			t.Errorf("%.40q for %q: posted %+v", c.new, c.old, ev)
+		}
+	}
+}
+
+// The longest body that is allowed is taken.
+func TestLongestBody(t *testing.T) {
+	r := serve(t)
+	s := r.session(t)
+	s.send(goodHead + "Content-Length: 65536\n\n" + strings.Repeat("x", maxBody))
+	if ev := (<-r.events).(*reducer.Arrived); len(ev.Content.(*fetch.Req).Body) != maxBody {
+		t.Errorf("%d bytes", len(ev.Content.(*fetch.Req).Body))
+	}
+}
+
+func TestClientLeaves(t *testing.T) {
+	r := serve(t)
+	s := r.session(t)
+	s.send(good)
+	id := (<-r.events).(*reducer.Arrived).ID
+	s.conn.Close()
+	if left, ok := (<-r.events).(*reducer.Left); !ok || left.Req != id {
+		t.Errorf("posted %+v", left)
+	}
+	if r.Answer(reducer.Answer{Req: id}); len(r.waiting) != 0 {
+		t.Errorf("%d reqs still wait", len(r.waiting))
+	}
+}
+
+func TestReady(t *testing.T) {
+	r := serve(t)
+	s := r.session(t)
+	for _, want := range []int{503, 200, 503} {
+		r.Ready(want == 200)
+		s.send("GET /ready HTTP/1.1\nHost: x\n\n")
+		if resp, _ := s.answer(); resp.StatusCode != want {
+			t.Errorf("%d, want %d", resp.StatusCode, want)
+		}
+	}
+}
+
+// On the way out idle client sessions end, new ones are still taken, what was
+// taken is answered, and each session ends with its answer.
+func TestEndSessions(t *testing.T) {
+	r := serve(t)
+	busy, idle := r.session(t), r.session(t)
+	idle.send("GET /ready HTTP/1.1\nHost: x\n\n")
+	idle.answer()
+	busy.send(good)
+	first := (<-r.events).(*reducer.Arrived).ID
+	r.EndSessions()
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("idle session: %v", err)
+	}
+	late := r.session(t)
+	late.send(good)
+	second := (<-r.events).(*reducer.Arrived).ID
+	closed := make(chan bool)
+	go func() {
+		r.Close(time.Minute)
+		close(closed)
+	}()
+	for id, s := range map[reducer.ReqID]*session{first: busy, second: late} {
+		r.Answer(reducer.Answer{Req: id, Kind: reducer.Refused})
+		if resp, _ := s.answer(); !resp.Close {
+			t.Error("an answer does not end its session")
+		}
+	}
+	<-closed
+	if c, err := net.Dial("tcp", r.addr); err == nil {
+		c.Close()
+		t.Error("still accepts")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,7 @@
 			broken <- err
 		}
 	}()
-	n.log.Info("listening", zap.String("name", c.Name), zap.String("at", c.Listen),
+	n.log.Info("listening", zap.String("name", c.Name), zap.Stringer("at", listener.Addr()),
 		zap.Int("backends", len(c.Known)), zap.Int("peers", len(c.Peers)))
 	return broken, nil
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"lemongate"
+	"lemongate/internal/config"
+	"lemongate/internal/reducer"
+	"lemongate/internal/wire"
+)
+
+func testConfig(discovery, backend string) *config.Config {
+	return &config.Config{
+		Name: "n0", Listen: "127.0.0.1:0", Discovery: discovery, Limits: config.Limits{Sockets: 100},
+		Known: []reducer.Entry{{Backend: lemongate.Backend{ID: "b1", Zone: "a"}, Addr: backend}},
+		Settings: wire.Settings{
+			ConnectTimeout: 5 * time.Second, IdleClose: time.Minute,
+			Settings: lemongate.Settings{
+				Gateways: 1, Zone: "a", Tick: time.Millisecond, MaxAttempts: 2, MaxRetryAfter: time.Second,
+				Classes: []lemongate.Class{{
+					Name: "read", Effect: lemongate.Safe, Aim: 20 * time.Second, Deadline: 30 * time.Second, Worth: 1,
+				}},
+				Plans: []lemongate.Plan{{Name: "small", Rate: 0.001, Burst: 1, Price: 1}},
+			},
+		},
+	}
+}
+
+// The whole program, from its start to its exit: it is ready once discovery
+// has spoken, passes a req on, refuses what is beyond the quota, prints its
+// counters when asked, and on SIGTERM answers what it has taken and ends.
+func TestRun(t *testing.T) {
+	took, let := make(chan bool, 1), make(chan bool)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		took <- true
+		<-let
+		io.WriteString(w, "answer to "+r.Header.Get("X-Call-Id"))
+	}))
+	defer backend.Close()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"generation":1,"reset":false,"instances":[]}`+"\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+
+	core, lines := observer.New(zapcore.InfoLevel)
+	listening, counted := make(chan string, 1), make(chan bool, 2)
+	log := zap.New(core, zap.Hooks(func(e zapcore.Entry) error {
+		if strings.HasPrefix(e.Message, "phase serving") {
+			listening <- lines.FilterMessage("listening").All()[0].ContextMap()["at"].(string)
+		}
+		if e.Message == "counters" {
+			counted <- true
+		}
+		return nil
+	}))
+	dump, stop, ended := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan error)
+	address := strings.TrimPrefix(backend.URL, "http://")
+	go func() {
+		ended <- Run(testConfig(strings.TrimPrefix(discovery.URL, "http://"), address), NewClock(), log, dump, stop)
+	}()
+
+	base := "http://" + <-listening
+	ask := func() (int, string) {
+		req, _ := http.NewRequest("GET", base+"/read/00000000b4d65521", nil)
+		for name, v := range map[string]string{
+			"X-Call-Id": "id7", "Plan": "small", "X-Budget": "29000m", "Quota-Info": "units=1,spread=1,first=0",
+		} {
+			req.Header.Set(name, v)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			return 0, ""
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(body)
+	}
+	answered := make(chan bool)
+	go func() {
+		if status, body := ask(); status != 200 || body != "answer to id7" {
+			t.Errorf("%d %q", status, body)
+		}
+		answered <- true
+	}()
+	<-took
+	if status, _ := ask(); status != 429 {
+		t.Errorf("beyond the quota: %d", status)
+	}
+	dump <- syscall.SIGUSR1
+	<-counted
+	stop <- syscall.SIGTERM
+	let <- true
+	<-answered
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	all := lines.FilterMessage("counters").All()
+	c := all[len(all)-1].ContextMap()["counts"].(reducer.Counters)
+	if c.Received != 2 || c.Served != 1 || c.Refused != 1 || c.Fetched != 1 || len(all) != 2 {
+		t.Errorf("%d dumps, last %+v", len(all), c)
+	}
+}
+
+// What cannot be listened on is an error, not a limiter that hears nothing.
+func TestRunFails(t *testing.T) {
+	taken := httptest.NewServer(nil)
+	defer taken.Close()
+	c := testConfig("127.0.0.1:1", "127.0.0.1:1")
+	c.Listen = strings.TrimPrefix(taken.URL, "http://")
+	if err := Run(c, NewClock(), zap.NewNop(), nil, nil); err == nil || !strings.Contains(err.Error(), "listen") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -86,8 +86,11 @@
 // Tell queues a datagram for a limiter, or for all with a number below 0. It
 // never waits: datagrams may be lost anyway.
 func (l *Link) Tell(number int, data []byte) {
-	to := l.all
-	if number >= 0 && number < len(l.peers) {
+	var to netip.AddrPort
+	switch {
+	case number < 0:
+		to = l.all
+	case number < len(l.peers):
 		to = l.peers[number]
 	}
 	if !to.IsValid() || len(data) > maxSize {
--- /dev/null
+++ b/internal/reducer/reducer_test.go
@@ -0,0 +1,165 @@
+package reducer
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"lemongate"
+)
+
+func entry(id, addr string, state lemongate.BackendState, started time.Duration) Entry {
+	return Entry{lemongate.Backend{ID: id, Zone: "a", State: state, Started: started}, addr}
+}
+
+func start(t *testing.T, entries ...Entry) *Reducer {
+	t.Helper()
+	r, _ := New(time.Hour, Config{Settings: testSettings, Seed: 1, Known: entries})
+	return r
+}
+
+// only picks the effects of one type.
+func only[E Effect](effects []Effect) (list []E) {
+	for _, e := range effects {
+		if e, ok := e.(E); ok {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func read(id ReqID, at, budget time.Duration) *Arrived {
+	return &Arrived{At: at, Request: lemongate.Request{
+		ID: id, Class: "read", Plan: "small", Customer: "x", Units: 1, Budget: budget, First: 0, Spread: 1,
+	}}
+}
+
+// A connection of before a drain, a removal, a restart or a move must carry no
+// new req; one that merely is told again keeps its connections.
+func TestDroppedBackends(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind lemongate.ListKind
+		news []Entry
+		want []DropBackend
+	}{
+		"drains":    {lemongate.ListChanges, []Entry{entry("b1", "h:1", lemongate.Draining, 0)}, []DropBackend{{"b1"}}},
+		"removed":   {lemongate.ListChanges, []Entry{entry("b1", "", lemongate.Dead, 0)}, []DropBackend{{"b1"}}},
+		"restarted": {lemongate.ListChanges, []Entry{entry("b1", "h:1", lemongate.Live, time.Hour)}, []DropBackend{{"b1"}}},
+		"moved":     {lemongate.ListChanges, []Entry{entry("b1", "h:3", lemongate.Live, 0)}, []DropBackend{{"b1"}}},
+		"missing":   {lemongate.ListFull, []Entry{entry("b2", "h:2", lemongate.Live, 0)}, []DropBackend{{"b1"}}},
+		"unchanged": {lemongate.ListChanges, []Entry{entry("b1", "h:1", lemongate.Live, 0)}, nil},
+	} {
+		r := start(t, entry("b1", "h:1", lemongate.Live, 0), entry("b2", "h:2", lemongate.Live, 0))
+		got := only[DropBackend](r.Step(time.Hour, &Listed{Kind: c.kind, Entries: c.news}))
+		if !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// A deadline counts from the req's last byte, not from when the loop got to it.
+func TestBudgetCountsFromArrival(t *testing.T) {
+	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
+	got := only[StartFetch](r.Step(time.Hour, read(1, time.Hour-30*time.Millisecond, time.Second)))
+	if want := 970*time.Millisecond - answerMargin; len(got) != 1 || got[0].Wait != want {
+		t.Errorf("%+v, want one fetch that waits %v", got, want)
+	}
+}
+
+// Every req has its deadline armed, even one that the Gateway never ends.
+func TestSilentGateway(t *testing.T) {
+	for _, c := range []struct {
+		effect lemongate.Effect
+		maybe  bool
+		want   AnswerKind
+	}{
+		{lemongate.Safe, true, Refused}, {lemongate.Unsafe, false, Refused}, {lemongate.Keyed, true, Failed},
+	} {
+		r := start(t)
+		r.reqs[7] = &req{id: 7, effect: c.effect, maybe: c.maybe, deadline: time.Hour + time.Second}
+		r.timers.add(timer{at: time.Hour + time.Second, kind: deadlineTimer, id: FetchID{Req: 7}})
+		if got := only[Answer](r.Step(time.Hour+time.Second-1, Ticked{})); len(got) != 0 {
+			t.Errorf("%+v before the deadline", got)
+		}
+		got := only[Answer](r.Step(time.Hour+time.Second, Ticked{}))
+		if len(got) != 1 || got[0].Kind != c.want || r.Counters().Overdue != 1 || len(r.reqs) != 0 {
+			t.Errorf("%+v: %+v, want kind %d", c, got, c.want)
+		}
+	}
+}
+
+// What the Gateway asks for too late or too often, or at a backend that takes
+// nothing new, is not sent, and the Gateway is told so.
+func TestNotSent(t *testing.T) {
+	live, gone := entry("b1", "h:1", lemongate.Live, 0), entry("b2", "h:2", lemongate.Draining, 0)
+	for name, c := range map[string]struct {
+		q  req
+		to string
+	}{
+		"past its deadline": {req{deadline: time.Hour}, "b1"},
+		"too many":          {req{deadline: 2 * time.Hour, attempts: 3}, "b1"},
+		"answered":          {req{deadline: 2 * time.Hour, answered: true, open: 1}, "b1"},
+		"draining":          {req{deadline: 2 * time.Hour}, "b2"},
+		"never listed":      {req{deadline: 2 * time.Hour}, "b3"},
+	} {
+		r := start(t, live, gone)
+		c.q.id, r.out = 9, nil
+		r.reqs[9] = &c.q
+		r.send(lemongate.Send{Request: 9, Backend: c.to})
+		if n := r.Counters().NotSent; n != 1 || len(only[StartFetch](r.out)) != 0 {
+			t.Errorf("%s: counted %d, effects %v", name, n, r.out)
+		}
+	}
+}
+
+// A fetch that nobody waits for any longer is stopped, before any other starts.
+func TestTimeout(t *testing.T) {
+	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
+	r.Step(time.Hour, read(1, time.Hour, 500*time.Millisecond))
+	got := r.Step(time.Hour+500*time.Millisecond-answerMargin, Ticked{})
+	if stops, answers := only[StopFetch](got), only[Answer](got); len(stops) != 1 || len(answers) != 1 || answers[0].Kind != Refused {
+		t.Errorf("%+v, want a stop and a refusal", got)
+	}
+	if late := r.Step(time.Hour+time.Second, &FetchEnded{Fetch: FetchID{1, 0}, Result: lemongate.Done}); len(only[Answer](late)) != 0 {
+		t.Errorf("a late outcome brought %+v", late)
+	}
+}
+
+// Phases follow one another, each with what it asks for.
+func TestPhases(t *testing.T) {
+	r := start(t)
+	if got := only[Ready](r.Step(time.Hour+settleWithin-1, Ticked{})); len(got) != 0 || r.Phase() != Starting {
+		t.Errorf("ready before discovery spoke: %v", got)
+	}
+	if got := only[Ready](r.Step(time.Hour+settleWithin, Ticked{})); len(got) != 1 || !got[0].Is || r.Phase() != Serving {
+		t.Errorf("not ready though discovery stays silent: %v", got)
+	}
+	at := time.Hour + 10*time.Second
+	got := r.Step(at, Terminated{})
+	if ready := only[Ready](got); len(ready) != 1 || ready[0].Is || len(only[EndSessions](got)) != 1 || r.Phase() != Draining {
+		t.Errorf("SIGTERM brought %+v", got)
+	}
+	if got := r.Step(at+acceptAfter-1, Terminated{}); len(only[CloseFront](got)) != 0 {
+		t.Errorf("closed while clients may still connect: %+v", got)
+	}
+	closing := only[CloseFront](r.Step(at+acceptAfter, Ticked{}))
+	if want := 5*time.Second + killAfter - acceptAfter - killMargin; len(closing) != 1 || closing[0].Within != want {
+		t.Errorf("%+v, want to be out within %v", closing, want)
+	}
+	if got := r.Step(at+time.Second, FrontClosed{}); len(only[Exit](got)) != 1 || r.Phase() != Stopped {
+		t.Errorf("front closed brought %+v", got)
+	}
+}
+
+// A datagram may hold anything and come from anyone.
+func TestBadDatagrams(t *testing.T) {
+	r := start(t)
+	whole := append([]byte{2, 0, 1, 0, 0, 1, 64}, 0, 0, 0)
+	for _, d := range []Heard{{-1, whole}, {2, whole}, {1, nil}, {1, whole[:9]}, {1, make([]byte, 300)}} {
+		r.Step(time.Hour, &d)
+	}
+	r.Step(time.Hour, &Heard{1, whole})
+	if c := r.Counters(); c.PeerBad != 5 || c.PeerIn != 1 {
+		t.Errorf("%d bad, %d good; want 5 and 1", c.PeerBad, c.PeerIn)
+	}
+}
