Test the deadline's arming and a req that waited too long; drop a dead field

Seen: taking out the deadline timer or the budget's correction in internal/reducer/reducer.go (arrived) failed no test. TestSilentGateway now swaps the Gateway for one that knows nothing, and TestTooLateOnArrival has a req outwait its client; both fail without their lines. fetch.backend.users was written and never read, and is gone.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -67,7 +67,6 @@
 type backend struct {
 	transport *http.Transport
 	dropped   atomic.Bool
-	users     int // fetches and probes out, under Pool.mu
 }
 
 type fetch struct {
@@ -169,16 +168,12 @@
 		}
 		p.backends[id] = b
 	}
-	b.users++
 	return b
 }
 
-// done books that a fetch or probe of a backend has ended. The connections of
-// a dropped one are closed as they come free.
-func (p *Pool) done(b *backend) {
-	p.mu.Lock()
-	b.users--
-	p.mu.Unlock()
+// done closes what a fetch or probe left idle at a backend that was dropped
+// meanwhile: http.Transport keeps connections again once anything asked for one.
+func (b *backend) done() {
 	if b.dropped.Load() {
 		b.transport.CloseIdleConnections()
 	}
@@ -203,7 +198,7 @@
 }
 
 func (p *Pool) run(ctx context.Context, f *fetch, e reducer.StartFetch) {
-	defer p.done(f.backend)
+	defer f.backend.done()
 	defer f.cancel()
 	result, report, reply := p.fetch(ctx, f, e)
 	p.mu.Lock()
@@ -311,7 +306,7 @@
 	b := p.backend(e.Backend, e.Addr)
 	p.mu.Unlock()
 	go func() {
-		defer p.done(b)
+		defer b.done()
 		began := time.Now()
 		result, report := p.probe(b, e.Addr)
 		p.opt.Post(&reducer.ProbeEnded{
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -66,24 +66,34 @@
 	}
 }
 
+// What has waited for longer than its client does is refused, not sent on.
+func TestTooLateOnArrival(t *testing.T) {
+	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
+	got := only[Answer](r.Step(time.Hour, read(1, time.Hour-time.Second, 900*time.Millisecond)))
+	if c := r.Counters(); len(got) != 1 || got[0].Kind != Refused || c.NotSent+c.Overdue != 0 {
+		t.Errorf("%+v, counters %+v", got, c)
+	}
+}
+
 // Every req has its deadline armed, even one that the Gateway never ends.
 func TestSilentGateway(t *testing.T) {
-	for _, c := range []struct {
-		effect lemongate.Effect
-		maybe  bool
-		want   AnswerKind
-	}{
-		{lemongate.Safe, true, Refused}, {lemongate.Unsafe, false, Refused}, {lemongate.Keyed, true, Failed},
-	} {
+	for class, c := range map[string]struct {
+		maybe bool
+		want  AnswerKind
+	}{"read": {true, Refused}, "once": {false, Refused}, "post": {true, Failed}} {
 		r := start(t)
-		r.reqs[7] = &req{id: 7, effect: c.effect, maybe: c.maybe, deadline: time.Hour + time.Second}
-		r.timers.add(timer{at: time.Hour + time.Second, kind: deadlineTimer, id: FetchID{Req: 7}})
-		if got := only[Answer](r.Step(time.Hour+time.Second-1, Ticked{})); len(got) != 0 {
-			t.Errorf("%+v before the deadline", got)
+		ev := read(7, time.Hour, time.Second)
+		ev.Class = class
+		r.Step(time.Hour, ev)
+		r.gate = lemongate.New(testSettings, 2) // one that knows nothing of it
+		r.reqs[7].maybe = c.maybe
+		at := time.Hour + time.Second - answerMargin
+		if got := only[Answer](r.Step(at-1, Ticked{})); len(got) != 0 {
+			t.Errorf("%s: %+v before the deadline", class, got)
 		}
-		got := only[Answer](r.Step(time.Hour+time.Second, Ticked{}))
+		got := only[Answer](r.Step(at, Ticked{}))
 		if len(got) != 1 || got[0].Kind != c.want || r.Counters().Overdue != 1 || len(r.reqs) != 0 {
-			t.Errorf("%+v: %+v, want kind %d", c, got, c.want)
+			t.Errorf("%s: %+v, want kind %d", class, got, c.want)
 		}
 	}
 }
