Send a req without a body without framing or a look into it

Seen: request() in internal/fetch/fetch.go gives http.Transport a non-nil Body of length 0 (so that it does not resend), which net/http takes for unknown length: a GET's is probed by a goroutine with a 200 ms timer, an empty POST goes out chunked. Ruled out: a nil Body (http.Transport then resends, TestNotSentAgain). TestNoBody fails without it.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -262,6 +262,12 @@
 		Body:          io.NopCloser(bytes.NewReader(in.Body)),
 		ContentLength: int64(len(in.Body)),
 	}
+	if len(in.Body) == 0 {
+		// No framing: http.Transport takes a Body of length 0 for one of
+		// unknown length, and would look into it with a goroutine and a timer
+		// or send it chunked.
+		r.TransferEncoding = []string{"identity"}
+	}
 	return r.WithContext(ctx)
 }
 
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -216,6 +216,21 @@
 	}
 }
 
+// A req without a body goes out without one, in no framing of any kind.
+func TestNoBody(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		s := play(t, whole("200 OK", "", ""))
+		p := pool(s.listener.Addr().String())
+		p.fetch(&Req{Method: method, URI: get.URI, Host: get.Host, CallID: "id4"})
+		got := <-s.reqs
+		want := http.Header{"X-Call-Id": {"id4"}, "X-Budget": {"1234m"}}
+		if !reflect.DeepEqual(got.req.Header, want) || got.req.TransferEncoding != nil || got.body != "" {
+			t.Errorf("%s: %v, encoding %v, body %q", method, got.req.Header, got.req.TransferEncoding, got.body)
+		}
+		p.Close()
+	}
+}
+
 // A fetch that is given up closes its connection: the backend is told, and a
 // machine that has gone silent gets no further req on it.
 func TestStop(t *testing.T) {
