--- a/cmd/lemongate/main.go
+++ b/cmd/lemongate/main.go
@@ -19,6 +19,10 @@
 	"lemongate/internal/node"
 )
 
+// release is the version told by the version command; CHANGELOG.md says what
+// is in it.
+const release = "0.1.0"
+
 // memoryPart is the part of the memory limit that the Go heap is held to; the
 // rest is for stacks, the program itself and what the system keeps for it.
 const memoryPart = 0.7
@@ -57,7 +61,6 @@
 	if err != nil {
 		return err
 	}
-	defer log.Sync() //nolint: a log that cannot be flushed cannot be told of either
 	clock := node.NewClock()
 	c, err := config.Load(os.Getenv, clock.Zero())
 	if err != nil {
@@ -104,10 +107,6 @@
 }
 
 func version(_ context.Context, cmd *cli.Command) error {
-	text := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		text = info.Main.Version + " " + info.GoVersion
-	}
-	fmt.Fprintln(cmd.Root().Writer, "lemongate", text)
+	fmt.Fprintf(cmd.Root().Writer, "lemongate %s (%s)\n", release, runtime.Version())
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,7 +14,6 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"lemongate"
 	"lemongate/internal/discovery"
 	"lemongate/internal/reducer"
 	"lemongate/internal/wire"
@@ -171,13 +170,3 @@
 func (c *Config) Reducer() reducer.Config {
 	return reducer.Config{Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known}
 }
-
-// Plan finds a plan by its name.
-func (c *Config) Plan(name string) (lemongate.Plan, bool) {
-	for _, p := range c.Settings.Plans {
-		if p.Name == name {
-			return p, true
-		}
-	}
-	return lemongate.Plan{}, false
-}
