--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -23,8 +23,11 @@
 	"lemongate/internal/reducer"
 )
 
-// maxBody is the most that a body holds, either way.
-const maxBody = 64 << 10
+const (
+	maxBody        = 64 << 10    // the most that a body holds, either way
+	connectDefault = time.Second // for a connection, where the settings tell no bound
+	idlePart       = 2.0 / 3     // of the time after which a backend's machine closes it, a connection may idle
+)
 
 // A Req is what a fetch passes on of a client's req.
 type Req struct {
@@ -78,6 +81,9 @@
 
 // New returns a Pool without connections.
 func New(opt Options) *Pool {
+	if opt.ConnectTimeout <= 0 {
+		opt.ConnectTimeout = connectDefault
+	}
 	return &Pool{opt: opt, backends: map[string]*backend{}, fetches: map[reducer.FetchID]*fetch{}}
 }
 
@@ -163,7 +169,7 @@
 			MaxIdleConnsPerHost: max(p.opt.IdlePerBackend, 1),
 			// Before the backend's machine closes it, or a req that crosses
 			// the close is lost.
-			IdleConnTimeout:        p.opt.IdleClose * 2 / 3,
+			IdleConnTimeout:        time.Duration(float64(p.opt.IdleClose) * idlePart),
 			MaxResponseHeaderBytes: 16 << 10,
 		}
 		p.backends[id] = b
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -414,6 +414,27 @@
 	}
 }
 
+// Spare connections are few, and closed before the backend's machine does it:
+// a req that crosses that close would be lost.
+func TestSpares(t *testing.T) {
+	p := pool("", func(o *Options) { o.IdleClose = 15 * time.Second })
+	b := p.backend("b", "h:1")
+	if got := b.transport; got.IdleConnTimeout != 10*time.Second || got.MaxIdleConnsPerHost != 4 {
+		t.Errorf("kept for %v, %d of them", got.IdleConnTimeout, got.MaxIdleConnsPerHost)
+	}
+}
+
+// Settings without a bound on connecting must not end every probe at once.
+func TestNoConnectTimeout(t *testing.T) {
+	s := play(t, whole("200 OK", "", ""))
+	p := pool(s.listener.Addr().String(), func(o *Options) { o.ConnectTimeout = 0 })
+	defer p.Close()
+	p.Probe(reducer.Probe{Backend: "b", Addr: p.addr})
+	if got := (<-p.events).(*reducer.ProbeEnded); got.Result != lemongate.Done {
+		t.Errorf("result %v", got.Result)
+	}
+}
+
 // A body of known length is read to its end, so that its connection is kept.
 func TestReadBodyKeepsConnection(t *testing.T) {
 	body := bytes.Repeat([]byte("x"), maxBody)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,9 +27,9 @@
 	maxBody      = 64 << 10
 	readWithin   = 30 * time.Second // for one req to come whole; a slow sender is cut off
 	idleWithin   = 90 * time.Second // a client session without a req is closed
-	budgetMost   = time.Hour
-	customerSize = 16      // hex digits of a customer's name
-	customerMost = 1 << 33 // customers are below this number
+	budgetMost   = time.Hour        // a longer one is no budget
+	customerSize = 16               // hex digits of a customer's name
+	customerMost = 1 << 33          // customers are below this number
 )
 
 // Options set up a Front.
@@ -47,6 +47,7 @@
 	classes map[string]bool
 	plans   map[string]bool
 	server  *http.Server
+	longest time.Duration // that any client waits
 	ready   atomic.Bool
 	last    atomic.Uint64 // ReqID given
 
@@ -62,14 +63,17 @@
 	}
 	for _, c := range opt.Settings.Classes {
 		f.classes[c.Name] = true
+		f.longest = max(f.longest, c.Deadline)
 	}
 	for _, p := range opt.Settings.Plans {
 		f.plans[p.Name] = true
 	}
-	// The handler stands alone: a ServeMux would redirect unclean paths.
+	// The handler stands alone: a ServeMux would redirect unclean paths. The
+	// time to read runs on while a req waits for its answer, and its end looks
+	// like a client that left: so it is longer than any client waits.
 	f.server = &http.Server{
-		Handler: f, ReadTimeout: readWithin, IdleTimeout: idleWithin, MaxHeaderBytes: 16 << 10,
-		ErrorLog: quiet(opt.Log),
+		Handler: f, ReadTimeout: readWithin + f.longest, IdleTimeout: idleWithin, MaxHeaderBytes: 16 << 10,
+		ErrorLog: zap.NewStdLog(opt.Log.Named("http")),
 	}
 	return f
 }
@@ -178,7 +182,7 @@
 		At: f.opt.Now(),
 		Request: lemongate.Request{
 			ID: reducer.ReqID(f.last.Add(1)), Class: class, Plan: plan, Customer: customer, Units: quota.units,
-			Budget: budget, First: quota.first, Spread: quota.spread, Retry: r.Header.Get("X-Again") == "1",
+			Budget: min(budget, f.longest), First: quota.first, Spread: quota.spread, Retry: r.Header.Get("X-Again") == "1",
 		},
 		Content: &fetch.Req{
 			Method: r.Method, URI: r.RequestURI, Host: r.Host, CallID: id,
