Keep quotas refilled while answers are late; serve nothing read before a fetch's write

At fault in the module: Gateway.unheard counted an ask as unanswered from when it was put, though at 140 req/s asks and answers wait 0.1 s for the pace of messages; each cut `reach`, and fill refills by it. Gateway.customer began every customer's ceiling empty, however long the gateway had run. unheard also decided requests again that it had just ended. In internal/fetch, a copy behind an answer could lie in http.Transport's buffer when the next fetch began, stalled answers were waited for, and errTooMany was told as the backend's failure.

Change: only a gateway not heard since is silent; ceilings begin as met at the start; a fetch's first byte is written only when the transport's reader waits at an empty socket; an answer comes whole within 0.3 s of its first byte.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -12,7 +12,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,9 +26,13 @@
 )
 
 const (
-	maxBody        = 64 << 10    // the most that a body holds, either way
-	connectDefault = time.Second // for a connection, where the settings tell no bound
-	idlePart       = 2.0 / 3     // of the time after which a backend's machine closes it, a connection may idle
+	maxBody        = 64 << 10               // the most that a body holds, either way
+	connectDefault = time.Second            // for a connection, where the settings tell no bound
+	answerWithin   = 300 * time.Millisecond // for an answer to come whole, from its first byte
+	freshTries     = 8                      // connections that may turn out unfit before a fetch is not sent
+	reportMost     = 1e6                    // of a figure in a load report; no backend is that slow or full
+	utilMost       = 2                      // of the share of a backend's cores in use, noise included
+	idlePart       = 2.0 / 3                // of the time after which a backend's machine closes it, a connection may idle
 )
 
 // A Req is what a fetch passes on of a client's req.
@@ -53,6 +59,7 @@
 	Fields         []string      // of a load report, in the order of the settings
 	IdlePerBackend int           // spare connections kept
 	MostConns      int           // to all backends together; 0 for no bound
+	AnswerWithin   time.Duration // overrides how long an answer may take from its first byte on
 	Post           func(reducer.Event)
 }
 
@@ -77,6 +84,8 @@
 	cancel  context.CancelFunc
 	conn    atomic.Pointer[conn]
 	wrote   atomic.Bool // the req went whole into the connection's buffer
+	heard   atomic.Bool // the first byte of an answer came
+	stale   int         // connections that turned out unfit before a byte was written
 }
 
 // New returns a Pool without connections.
@@ -84,6 +93,9 @@
 	if opt.ConnectTimeout <= 0 {
 		opt.ConnectTimeout = connectDefault
 	}
+	if opt.AnswerWithin <= 0 {
+		opt.AnswerWithin = answerWithin
+	}
 	return &Pool{opt: opt, backends: map[string]*backend{}, fetches: map[reducer.FetchID]*fetch{}}
 }
 
@@ -185,22 +197,52 @@
 	}
 }
 
+// errTooMany is this program's own bound and says nothing of the backend.
 var errTooMany = errors.New("too many connections")
 
+// reserve counts a connection in. At the bound, spare ones make room: they
+// were left by other fetches, and this one cannot wait.
+func (p *Pool) reserve() bool {
+	most := int64(p.opt.MostConns)
+	if n := p.conns.Add(1); most <= 0 || n <= most {
+		return true
+	}
+	p.mu.Lock()
+	var all []*http.Transport
+	for _, b := range p.backends {
+		all = append(all, b.transport)
+	}
+	p.mu.Unlock()
+	for _, t := range all {
+		t.CloseIdleConnections()
+	}
+	if p.conns.Load() <= most {
+		return true
+	}
+	p.conns.Add(-1)
+	return false
+}
+
 func (p *Pool) dial(ctx context.Context, d *net.Dialer, b *backend, network, addr string) (net.Conn, error) {
 	if b.dropped.Load() {
 		return nil, errDropped
 	}
-	if n := p.conns.Add(1); p.opt.MostConns > 0 && n > int64(p.opt.MostConns) {
-		p.conns.Add(-1)
+	if !p.reserve() {
 		return nil, errTooMany
 	}
+	out := func() { p.conns.Add(-1) }
 	raw, err := d.DialContext(ctx, network, addr)
 	if err != nil {
-		p.conns.Add(-1)
+		out()
+		return nil, err
+	}
+	c, err := newConn(raw.(*net.TCPConn), b, out)
+	if err != nil {
+		out()
+		raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, backend: b, closed: func() { p.conns.Add(-1) }}, nil
+	return c, nil
 }
 
 func (p *Pool) run(ctx context.Context, f *fetch, e reducer.StartFetch) {
@@ -212,12 +254,42 @@
 	delete(p.fetches, e.Fetch)
 	p.mu.Unlock()
 	if wanted {
-		p.opt.Post(&reducer.FetchEnded{Fetch: e.Fetch, Result: result, Report: report, Reply: reply})
+		p.opt.Post(&reducer.FetchEnded{
+			Fetch: e.Fetch, Result: result, Report: report, Reply: reply,
+			Spoilt: result == lemongate.Broken && f.heard.Load(), Stale: f.stale,
+		})
 	}
 }
 
-// fetch makes one attempt and tells its outcome.
+// fetch makes one attempt and tells its outcome. A connection that is found
+// unfit before a byte of the req was written costs nothing but another one.
 func (p *Pool) fetch(ctx context.Context, f *fetch, e reducer.StartFetch) (lemongate.Result, []float64, reducer.Content) {
+	for {
+		result, report, reply := p.try(ctx, f, e)
+		c := f.conn.Load()
+		if result != lemongate.Unreachable || c == nil || ctx.Err() != nil {
+			return result, report, reply
+		}
+		if any, _ := c.carried(f); any {
+			return result, report, reply
+		}
+		if f.stale++; f.backend.dropped.Load() || f.stale >= freshTries {
+			return lemongate.NotSent, nil, nil // not the backend's failure
+		}
+		f.conn.Store(nil)
+	}
+}
+
+// try does so on the connection that the transport has at hand.
+func (p *Pool) try(ctx context.Context, f *fetch, e reducer.StartFetch) (lemongate.Result, []float64, reducer.Content) {
+	// An answer that has begun comes whole soon. Where it does not, its head
+	// does not end or its length is wrong, and the connection would stay open.
+	late := time.AfterFunc(time.Hour, func() {
+		if c := f.conn.Load(); c != nil {
+			c.giveUp(f)
+		}
+	})
+	defer late.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
@@ -225,15 +297,35 @@
 				f.conn.Store(c)
 			}
 		},
+		GotFirstResponseByte: func() {
+			if c := f.conn.Load(); c != nil {
+				c.answerBegins()
+			}
+			f.heard.Store(true)
+			late.Reset(p.opt.AnswerWithin)
+		},
+		// What comes ahead of the answer is skipped, and the answer may be long in coming.
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			late.Stop()
+			return nil
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { f.wrote.Store(info.Err == nil) },
 	})
 	in := e.Content.(*Req)
 	resp, err := f.backend.transport.RoundTrip(request(ctx, in, e))
+	if errors.Is(err, errTooMany) || errors.Is(err, errDropped) {
+		return lemongate.NotSent, nil, nil
+	}
 	if err != nil {
 		return p.broken(f), nil, nil
 	}
+	if !ends(resp) { // before its Body is closed, which would read on
+		result := p.broken(f)
+		resp.Body.Close()
+		return result, nil, nil
+	}
 	defer resp.Body.Close()
-	report := parseReport(resp.Header.Get("X-Load-Report"), p.opt.Fields)
+	report := parseReport(resp.Header["X-Load-Report"], p.opt.Fields)
 	body, err := readBody(resp)
 	switch {
 	case err != nil:
@@ -247,6 +339,13 @@
 	return lemongate.Errored, report, nil
 }
 
+// ends tells whether an answer says where it ends. One that ends with its
+// connection cannot be told from one cut off, and 101 is no answer to a req.
+func ends(resp *http.Response) bool {
+	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
+	return resp.ProtoMajor == 1 && resp.StatusCode >= 200 && (resp.ContentLength >= 0 || chunked)
+}
+
 // request words a fetch. Its Body is never nil and has no GetBody: otherwise
 // http.Transport would send a GET, or anything with Idempotency-Key, again by
 // itself when a kept connection turns out dead.
@@ -291,7 +390,10 @@
 	return lemongate.Unreachable
 }
 
-var errTooLong = errors.New("answer too long")
+var (
+	errTooLong = errors.New("answer too long")
+	errSpoilt  = errors.New("answer spoilt")
+)
 
 func readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength > maxBody {
@@ -331,12 +433,15 @@
 	// A probe that takes longer than a connection may tells nothing of use.
 	ctx, cancel := context.WithTimeout(context.Background(), 2*p.opt.ConnectTimeout)
 	defer cancel()
+	var on *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
 				c.begin(nil)
+				on = c
 			}
 		},
+		GotFirstResponseByte: func() { on.answerBegins() },
 	})
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/status/load"},
@@ -350,44 +455,56 @@
 		return lemongate.Unreachable, nil
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp)
+	var body []byte
+	if err = errSpoilt; ends(resp) {
+		body, err = readBody(resp)
+	}
 	if err != nil {
+		on.Close() // nothing behind it can be told apart
 		return lemongate.Broken, nil
 	}
 	if resp.StatusCode != http.StatusOK {
 		return lemongate.Errored, nil
 	}
-	text := resp.Header.Get("X-Load-Report")
-	if text == "" {
-		text = string(body)
+	texts := resp.Header["X-Load-Report"]
+	if len(texts) == 0 {
+		texts = []string{string(body)}
 	}
-	return lemongate.Done, parseReport(text, p.opt.Fields)
+	return lemongate.Done, parseReport(texts, p.opt.Fields)
 }
 
-// parseReport reads "TEXT name=value, ..." into the order of the fields, or
-// nothing if one is missing or no number.
-func parseReport(text string, fields []string) []float64 {
-	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
-	if !ok || len(fields) == 0 {
+// parseReport reads "TEXT name=value, ..." into the order of the fields. It
+// gives nothing where that cannot be read whole, or a figure is none that a
+// backend can have: the answer is good all the same.
+func parseReport(texts []string, fields []string) []float64 {
+	if len(texts) != 1 || len(fields) == 0 {
+		return nil
+	}
+	text, ok := strings.CutPrefix(strings.TrimSpace(texts[0]), "TEXT ")
+	if !ok {
 		return nil
 	}
 	values := make([]float64, len(fields))
-	seen := 0
+	for i := range values {
+		values[i] = math.NaN()
+	}
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		for i, field := range fields {
-			if field != name {
-				continue
-			}
-			v, err := strconv.ParseFloat(value, 64)
-			if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
-				return nil
-			}
-			values[i] = v
-			seen++
+		i := slices.Index(fields, name)
+		if i < 0 {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		most := reportMost
+		if name == "util" {
+			most = utilMost
+		}
+		if err != nil || !(v >= 0 && v <= most) || !math.IsNaN(values[i]) { // or told twice
+			return nil
 		}
+		values[i] = v
 	}
-	if seen != len(fields) {
+	if slices.ContainsFunc(values, math.IsNaN) {
 		return nil
 	}
 	return values
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -17,6 +17,8 @@
 	TimedOut     uint64 `json:"timed_out"`     // fetches not waited for any longer
 	Unreachable  uint64 `json:"unreachable"`   // fetches that got no connection
 	Broken       uint64 `json:"broken"`        // fetches whose connection broke
+	Spoilt       uint64 `json:"spoilt"`        // of these, those whose answer had begun
+	Stale        uint64 `json:"stale"`         // backend connections found unfit before a fetch began there
 	Errored      uint64 `json:"errored"`       // fetches the backend failed
 	TurnedAway   uint64 `json:"turned_away"`   // fetches the backend had no room for
 	Probes       uint64 `json:"probes"`
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -45,6 +45,8 @@
 	Result lemongate.Result
 	Report []float64
 	Reply  Content
+	Spoilt bool // an answer had begun that cannot be read, does not end or cannot be told whole
+	Stale  int  // connections found unfit before a byte was written there
 }
 
 // ProbeEnded brings the outcome of a probe.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -328,7 +328,13 @@
 	if f == nil {
 		return
 	}
+	r.count.Stale += uint64(ev.Stale)
+	if ev.Spoilt {
+		r.count.Spoilt++
+	}
 	switch ev.Result {
+	case lemongate.NotSent:
+		r.count.NotSent++
 	case lemongate.Done:
 		r.answer(f.req, Answer{Kind: Served, Reply: ev.Reply})
 	case lemongate.Errored:
--- a/policy.go
+++ b/policy.go
@@ -380,6 +380,9 @@
 			c.level = c.plan.Burst
 		}
 		c.units, c.size = max(ev.Units, 1), min(max(ev.Spread, 1), g.set.Gateways)
+		// As if met at this gateway's start: what was sent before that is not known here. Trouble: many
+		// customers come only once, and an empty store refused them all.
+		c.ceiling = (g.now - g.born).Seconds() * c.plan.CeilingRate / float64(c.size)
 		if g.set.MayTell && g.set.PeerInPerSec > 0 || g.set.Gateways == 1 {
 			c.ranks = rank(c.hash, ev.First, c.size, g.set.Gateways, homeRanks)
 		}
@@ -477,7 +480,9 @@
 }
 
 // unheard sees to asks without an answer: asked again, then another gateway, last decided alone.
-// Trouble: one lost message in ten would leave a customer with two homes, so the first stays.
+// Trouble: one lost message in ten would leave a customer with two homes, so the first stays. At many
+// requests a second asks wait here for the pace of messages, and answers there: a gateway that was heard
+// since is no silent one, or all quotas would shrink with the reach (churn day: refilled at 0).
 func (g *Gateway) unheard() {
 	margin := g.aimShort / beatsPerAim * 2
 	for _, c := range g.waits() {
@@ -493,6 +498,12 @@
 			continue
 		}
 		p := g.peer(c.askTo)
+		if slices.Contains(p.asks, c) || p.heard > c.askAt {
+			c.askAt = g.now
+			g.tell(c, c.askTo, 0)
+			g.by(g.now + g.patience() + g.set.Tick)
+			continue
+		}
 		if c.askTo != g.mute { // a single one is dead, not cut off: its customers come here
 			g.mute, g.reach = c.askTo, g.reach*(1-reachWeight)
 		}
@@ -508,6 +519,9 @@
 		asks := c.asks
 		c.asks = nil
 		for _, r := range asks {
+			if r.over { // just now, above
+				continue
+			}
 			word, wait := g.reserve(c, r.Units)
 			g.decided(r, word == granted, wait)
 		}
--- a/policy_test.go
+++ b/policy_test.go
@@ -607,6 +607,47 @@
 	}
 }
 
+// A home that is heard is no silent one, however late its answers come: where asks and answers wait for
+// the pace of messages, the stores went on being refilled as if most gateways were cut off.
+func TestLateAnswers(t *testing.T) {
+	set := settings()
+	set.PeerInPerSec = 2 // each pair talks seldom
+	b := newBench(t, set, fleet("a", "b", "c")...)
+	for n, met := 0, 0; met < 40; n++ {
+		name := fmt.Sprint("c", n)
+		if rank(hashOf(name), 0, 2, 2, 1)[0] != 1 {
+			continue
+		}
+		met++
+		b.ask("read", "small", name)
+		b.pass(40 * ms)
+		m := peermsg.Message{Epoch: 9, You: b.g.epoch, Seq: uint8(met)}
+		b.do(&PeerMessage{From: 1, Data: m.Append(nil)})
+	}
+	if b.g.reach < 1 || b.g.peer(1).missed > 0 {
+		t.Errorf("reach %.2f, %d asks missed, though the home was heard all along", b.g.reach, b.g.peer(1).missed)
+	}
+}
+
+// Many customers come only once. One that is met long after the gateway's start has its part of the
+// ceiling at once; at the start it may be spent already.
+func TestCeilingOfNewCustomers(t *testing.T) {
+	b := newBench(t, settings(), fleet("a", "b", "c")...)
+	n := 0
+	for _, want := range []int{0, 10} { // at the start, and after a minute
+		for n++; rank(hashOf(fmt.Sprint("c", n)), 0, 2, 2, 1)[0] != 0; n++ { // until its home is here
+		}
+		b.take()
+		for range 30 {
+			b.ask("read", "capped", fmt.Sprint("c", n))
+		}
+		if passed := 30 - len(only[Refuse](b.take())); passed != want {
+			t.Errorf("%d of 30 passed, want %d", passed, want)
+		}
+		b.now += time.Minute
+	}
+}
+
 // Two gateways given the same events act the same.
 func TestDeterminism(t *testing.T) {
 	play := func() []Action {
--- a/state.go
+++ b/state.go
@@ -193,6 +193,7 @@
 	known   bool
 	seq     uint8         // of its last message
 	sent    uint8         // of the last to it
+	heard   time.Duration // when its last message came
 	missed  int           // asks that it left unanswered in a row
 	until   time.Duration // not asked before this
 	asks    []*customer
@@ -490,6 +491,9 @@
 	m := peermsg.Message{Epoch: g.epoch, You: p.epoch, Seq: p.sent, Strain: uint8(min(g.strain*64, math.MaxUint8))}
 	for _, c := range p.asks[:min(len(p.asks), peermsg.MaxAsks)] {
 		m.Asks = append(m.Asks, g.entry(c))
+		if c.askTo == p.number {
+			c.askAt = g.now // it waited here until now
+		}
 		if c.repeat--; c.repeat >= 0 {
 			p.asks, again = append(p.asks, c), wait
 		}
@@ -682,7 +686,7 @@
 	if p.known && p.epoch == m.Epoch && int8(m.Seq-p.seq) <= 0 {
 		return m, p, false
 	}
-	p.known, p.epoch, p.seq, p.missed = true, m.Epoch, m.Seq, 0
+	p.known, p.epoch, p.seq, p.missed, p.heard = true, m.Epoch, m.Seq, 0, g.now
 	return m, p, true
 }
 
