Turn away at the edge what no backend or rule can use

Seen: read in the code and shown by tests against the build before: a length beside Transfer-Encoding, chunks under HTTP/1.0, doubled X-Call-Id, Plan or X-Budget, units=+2, a set larger than the tier, PUT, a GET with a body, OPTIONS * (answered 200 by net/http itself) and a second req under an open X-Call-Id all went on or were served. An answer to half a body waited for the rest of it.

At fault: front.read took the first of several headers, strconv's spelling of numbers and whatever net/http's framing left; nobody knew which ids are open.

Change: front checks form and ranges before the body, answers at once (full duplex), and names the cause; the reducer owns the open ids and turns a second one away without touching the first.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,9 +26,13 @@
 
 const (
 	maxBody      = 64 << 10
-	budgetMost   = time.Hour // a longer one is no budget
-	customerSize = 16        // hex digits of a customer's name
-	customerMost = 1 << 33   // customers are below this number
+	budgetMost   = time.Hour             // a longer one is no budget
+	customerSize = 16                    // hex digits of a customer's name
+	customerMost = 1 << 33               // customers are below this number
+	budgetSlack  = 50 * time.Millisecond // beyond the class's deadline, which is not told to the microsecond
+	quotaMost    = 1 << 20               // a larger number is none of a quota
+	maxWord      = 256                   // of a header that is read
+	maxNumber    = 24                    // digits
 )
 
 // Options set up a Front.
@@ -45,10 +49,9 @@
 // A Front serves the clients.
 type Front struct {
 	opt     Options
-	classes map[string]bool
+	classes map[string]*lemongate.Class
 	plans   map[string]bool
 	server  *http.Server
-	longest time.Duration // that any client waits
 	ready   atomic.Bool
 	last    atomic.Uint64 // ReqID given
 
@@ -64,12 +67,11 @@
 		opt.Wall = time.Now
 	}
 	f := &Front{
-		opt: opt, classes: map[string]bool{}, plans: map[string]bool{},
+		opt: opt, classes: map[string]*lemongate.Class{}, plans: map[string]bool{},
 		waiting: map[reducer.ReqID]chan reducer.Answer{},
 	}
-	for _, c := range opt.Settings.Classes {
-		f.classes[c.Name] = true
-		f.longest = max(f.longest, c.Deadline)
+	for i, c := range opt.Settings.Classes {
+		f.classes[c.Name] = &opt.Settings.Classes[i]
 	}
 	for _, p := range opt.Settings.Plans {
 		f.plans[p.Name] = true
@@ -79,7 +81,8 @@
 	// on while the req waits for its answer, and its end looks like a client
 	// that left.
 	f.server = &http.Server{
-		Handler: f, ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, MaxHeaderBytes: 16 << 10,
+		Handler: f, DisableGeneralOptionsHandler: true, // it would answer 200 to what is no req
+		ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, MaxHeaderBytes: 16 << 10,
 		ErrorLog:    zap.NewStdLog(opt.Log.Named("http")),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, sessionKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
@@ -147,14 +150,13 @@
 
 // ServeHTTP sees one req of a client session through.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/ready" {
+	if r.RequestURI == "/ready" && r.Method == http.MethodGet {
 		f.serveReady(w)
 		return
 	}
-	ev, status, problem := f.read(w, r)
-	if problem != "" {
-		f.opt.Post(reducer.Malformed{})
-		reject(w, status, problem)
+	ev, problem := f.read(r)
+	if problem != nil {
+		f.turnAway(w, r, problem)
 		return
 	}
 	if sessionOf(r).enter(busy) == closed {
@@ -176,6 +178,25 @@
 	}
 }
 
+// turnAway answers at once what is no req, before its body has come: half of
+// one may be all that ever does.
+func (f *Front) turnAway(w http.ResponseWriter, r *http.Request, p *problem) {
+	f.opt.Post(reducer.Malformed{Cause: p.cause})
+	s := sessionOf(r)
+	s.enter(idle) // no req is open here
+	if p.ends {
+		w.Header().Set("Connection", "close")
+	}
+	if r.ContentLength != 0 {
+		s.SetReadDeadline(s.begun.Add(wholeWithin))
+		http.NewResponseController(w).EnableFullDuplex() // or net/http reads the body before it answers
+	}
+	reject(w, p.status, p.text)
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).Flush()
+	}
+}
+
 func (f *Front) serveReady(w http.ResponseWriter) {
 	if f.ready.Load() {
 		reject(w, http.StatusOK, "ready")
@@ -184,64 +205,107 @@
 	reject(w, http.StatusServiceUnavailable, "not ready")
 }
 
-// read checks the form of a req and words it as an event. A problem means that
-// it is none, and never costs a fetch.
-func (f *Front) read(w http.ResponseWriter, r *http.Request) (ev *reducer.Arrived, status int, problem string) {
-	class, customer, ok := splitPath(r.URL.EscapedPath())
-	id := r.Header.Get("X-Call-Id")
-	plan := r.Header.Get("Plan")
-	budget, budgetOK := parseBudget(r.Header.Get("X-Budget"))
-	quota, quotaOK := parseQuota(r.Header.Get("Quota-Info"))
-	set := &f.opt.Settings
+// A problem is what makes a req none. It never costs a fetch.
+type problem struct {
+	cause  reducer.Cause
+	status int
+	text   string
+	ends   bool // where the next req would begin is not known, so the session ends
+}
+
+// read checks the form of a req and words it as an event. What a backend or
+// the rules cannot use goes no further: on their side it would cost more, and
+// there it may pass for something else.
+func (f *Front) read(r *http.Request) (*reducer.Arrived, *problem) {
+	h, set := r.Header, &f.opt.Settings
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	name, customer, ok := splitPath(path)
+	class := f.classes[name]
+	// net/http takes a chunked body and drops a Content-Length beside it unseen,
+	// and under HTTP/1.0 drops Transfer-Encoding: such a body may hide another
+	// req. Clients here send a length, so what comes without is not looked into.
 	switch {
-	case !ok || !f.classes[class]:
-		return nil, http.StatusNotFound, "no such class or customer"
-	case id == "":
-		return nil, http.StatusBadRequest, "X-Call-Id is missing"
-	case !f.plans[plan]:
-		return nil, http.StatusBadRequest, "unknown plan"
+	case len(r.TransferEncoding) > 0:
+		return nil, &problem{reducer.BadFraming, http.StatusLengthRequired, "Content-Length wanted, and nothing beside it", true}
+	case !r.ProtoAtLeast(1, 1):
+		return nil, &problem{reducer.BadFraming, http.StatusHTTPVersionNotSupported, "HTTP/1.1 wanted", true}
+	case r.ContentLength > maxBody:
+		return nil, &problem{reducer.BadFraming, http.StatusRequestEntityTooLarge, "body too long", true}
+	case !ok || class == nil:
+		return nil, &problem{reducer.BadTarget, http.StatusNotFound, "no such class or customer", false}
+	}
+	id, idOK := word(h, "X-Call-Id")
+	key, keyOK := word(h, "Idempotency-Key")
+	plan, planOK := word(h, "Plan")
+	text, budgetOK := word(h, "X-Budget")
+	budget, known := parseBudget(text)
+	budgetOK = budgetOK && known && budget <= class.Deadline+budgetSlack
+	text, quotaOK := word(h, "Quota-Info")
+	quota, known := parseQuota(text)
+	gateways := max(set.Gateways, 1)
+	quotaOK = quotaOK && known && quota.first < gateways && quota.spread <= gateways &&
+		(f.opt.MostUnits <= 0 || quota.units <= f.opt.MostUnits)
+	method := http.MethodPost
+	if class.Effect == lemongate.Safe {
+		method = http.MethodGet
+	}
+	switch {
+	case r.Method != method || method == http.MethodGet && r.ContentLength != 0:
+		return nil, &problem{reducer.BadMethod, http.StatusMethodNotAllowed, "the class has another method", false}
+	case !idOK:
+		return nil, &problem{reducer.BadID, http.StatusBadRequest, "bad X-Call-Id", false}
+	case class.Effect == lemongate.Keyed && !keyOK || len(h["Idempotency-Key"]) > 1:
+		return nil, &problem{reducer.BadID, http.StatusBadRequest, "bad Idempotency-Key", false}
+	case !planOK || !f.plans[plan]:
+		return nil, &problem{reducer.BadPlan, http.StatusBadRequest, "unknown plan", false}
 	case !budgetOK:
-		return nil, http.StatusBadRequest, "bad X-Budget"
-	case !quotaOK || quota.first >= max(set.Gateways, 1) || f.opt.MostUnits > 0 && quota.units > f.opt.MostUnits:
-		return nil, http.StatusBadRequest, "bad Quota-Info"
+		return nil, &problem{reducer.BadBudget, http.StatusBadRequest, "bad X-Budget", false}
+	case !quotaOK:
+		return nil, &problem{reducer.BadQuota, http.StatusBadRequest, "bad Quota-Info", false}
+	}
+	body, err := readBody(r)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &problem{reducer.BadFraming, http.StatusRequestTimeout, "body did not come", true}
 	}
-	body, err := readBody(w, r)
 	if err != nil {
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			return nil, http.StatusRequestEntityTooLarge, "body too long"
-		}
-		w.Header().Set("Connection", "close") // where the next req would begin is unknown
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, http.StatusRequestTimeout, "body did not come"
-		}
-		return nil, http.StatusBadRequest, "body broken off"
+		return nil, &problem{reducer.BadFraming, http.StatusBadRequest, "body broken off", true}
 	}
 	return &reducer.Arrived{
-		At: f.opt.Now(),
+		At: f.opt.Now(), CallID: id,
 		Request: lemongate.Request{
-			ID: reducer.ReqID(f.last.Add(1)), Class: class, Plan: plan, Customer: customer, Units: quota.units,
-			Budget: min(budget, f.longest), First: quota.first, Spread: quota.spread, Retry: r.Header.Get("X-Again") == "1",
+			ID: reducer.ReqID(f.last.Add(1)), Class: name, Plan: plan, Customer: customer, Units: quota.units,
+			Budget: min(budget, class.Deadline), First: quota.first, Spread: quota.spread, Retry: h.Get("X-Again") == "1",
 		},
 		Content: &fetch.Req{
 			Method: r.Method, URI: r.RequestURI, Host: r.Host, CallID: id,
-			Key: r.Header.Get("Idempotency-Key"), Type: r.Header.Get("Content-Type"), Body: body,
+			Key: key, Type: h.Get("Content-Type"), Body: body,
 		},
-	}, 0, ""
+	}, nil
 }
 
-// readBody reads a body whole, 64 KiB at most.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// word gives a header that must stand there once, as one word.
+func word(h http.Header, name string) (string, bool) {
+	values := h[name]
+	if len(values) != 1 || len(values[0]) == 0 || len(values[0]) > maxWord {
+		return "", false
+	}
+	for _, c := range []byte(values[0]) {
+		if c <= ' ' || c >= 0x7f {
+			return "", false
+		}
+	}
+	return values[0], true
+}
+
+// readBody reads a body whole. Its length is known, and within the bound; but
+// room is made for what has come, not for what is said to come.
+func readBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if r.ContentLength > maxBody {
-		w.Header().Set("Connection", "close") // the rest is not read
-		return nil, &http.MaxBytesError{Limit: maxBody}
-	}
 	s := sessionOf(r)
 	s.SetReadDeadline(s.begun.Add(wholeWithin))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(r.Body)
 	if err == nil { // else net/http would wait here for the rest before it answers
 		s.SetReadDeadline(time.Time{}) // it goes on reading, to see a client leave
 	}
@@ -249,7 +313,7 @@
 }
 
 // splitPath takes the class and the customer from a path: its first and its
-// last part.
+// last part. One customer has one name: its digits are small.
 func splitPath(path string) (class, customer string, ok bool) {
 	path, ok = strings.CutPrefix(path, "/")
 	if !ok {
@@ -257,7 +321,7 @@
 	}
 	class, _, ok = strings.Cut(path, "/")
 	customer = path[strings.LastIndexByte(path, '/')+1:]
-	if !ok || len(customer) != customerSize {
+	if !ok || len(customer) != customerSize || strings.ContainsAny(customer, "ABCDEF") {
 		return "", "", false
 	}
 	number, err := strconv.ParseUint(customer, 16, 64)
@@ -278,38 +342,53 @@
 	default:
 		return 0, false
 	}
-	v, err := strconv.ParseFloat(text[:len(text)-1], 64)
+	v, ok := parseNumber(text[:len(text)-1])
 	v *= float64(unit)
-	if err != nil || !(v > 0) || v > float64(budgetMost) {
+	if !ok || v < 1 || v > float64(budgetMost) {
 		return 0, false
 	}
 	return time.Duration(v), true
 }
 
+// parseNumber reads a plain decimal number: no sign, exponent, infinity or
+// hex digits, all of which strconv would take.
+func parseNumber(text string) (float64, bool) {
+	if len(text) > maxNumber || strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil
+}
+
 type quota struct {
 	units         float64
 	spread, first int
 }
 
-// parseQuota reads "units=2,spread=3,first=1".
+// parseQuota reads "units=2,spread=3,first=1", each once. Other names are for
+// others.
 func parseQuota(text string) (q quota, ok bool) {
-	q.spread, q.first = -1, -1
+	seen := map[string]bool{}
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		var err error
+		if name != "units" && name != "spread" && name != "first" {
+			continue
+		}
+		v, number := parseNumber(value)
+		if !number || seen[name] || name != "units" && v != math.Trunc(v) || v > quotaMost {
+			return q, false
+		}
+		seen[name] = true
 		switch name {
 		case "units":
-			q.units, err = strconv.ParseFloat(value, 64)
+			q.units = v
 		case "spread":
-			q.spread, err = strconv.Atoi(value)
+			q.spread = int(v)
 		case "first":
-			q.first, err = strconv.Atoi(value)
-		}
-		if err != nil {
-			return q, false
+			q.first = int(v)
 		}
 	}
-	return q, q.units > 0 && !math.IsInf(q.units, 0) && q.spread > 0 && q.first >= 0
+	return q, len(seen) == 3 && q.units > 0 && q.spread > 0
 }
 
 // write puts an answer on the wire. It is whole before the first byte goes out.
@@ -329,6 +408,8 @@
 			h["Retry-After"] = []string{strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}
 		}
 		reject(w, http.StatusTooManyRequests, "refused, try again later")
+	case reducer.Clashed:
+		reject(w, http.StatusConflict, "a req with this X-Call-Id is open")
 	case reducer.Failed:
 		reject(w, http.StatusBadGateway, "failed, it may have run")
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -33,8 +33,11 @@
 	opt := Options{
 		Settings: lemongate.Settings{
 			Gateways: 3,
-			Classes:  []lemongate.Class{{Name: "read", Deadline: time.Second}, {Name: "post", Deadline: 50 * time.Second}},
-			Plans:    []lemongate.Plan{{Name: "team"}},
+			Classes: []lemongate.Class{
+				{Name: "read", Effect: lemongate.Safe, Deadline: time.Second},
+				{Name: "post", Effect: lemongate.Keyed, Deadline: 50 * time.Second},
+			},
+			Plans: []lemongate.Plan{{Name: "team"}},
 		},
 		MostUnits: 4,
 		Now:       func() time.Duration { return 42 },
@@ -71,6 +74,7 @@
 
 func (s *client) answer() (*http.Response, string) {
 	s.t.Helper()
+	s.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	resp, err := http.ReadResponse(s.in, nil)
 	if err != nil {
 		s.t.Fatal(err)
@@ -169,13 +173,30 @@
 		{"00000000b4d65521", "b4d65521", 404},
 		{"00000000b4d65521", "00000002b4d65521", 404}, // not below 2^33
 		{"00000000b4d65521", "0000000xb4d65521", 404},
-		{"480m", "480", 400}, {"480m", "480s", 400}, {"480m", "0m", 400}, {"480m", "-1m", 400},
-		{"480m", "NaNm", 400}, {"480m", "1e300m", 400}, {"480m", "m", 400}, {"X-Budget: 480m\n", "", 400},
-		{"units=2", "units=0", 400}, {"units=2", "units=-1", 400}, {"units=2", "units=NaN", 400},
-		{"units=2", "units=5", 400}, {"units=2,", "", 400}, {"spread=3", "spread=0", 400},
+		{"480m", "480", 400}, {"480m", "480s", 400}, {"480m", "0m", 400}, {"480m", "-1m", 400}, {"480m", "0x1p8m", 400},
+		{"480m", "NaNm", 400}, {"480m", "1e300m", 400}, {"480m", "Infm", 400}, {"480m", "m", 400}, {"X-Budget: 480m\n", "", 400},
+		{"480m", "50051m", 400}, {"480m", "0.0001u", 400},
+		{"units=2", "units=0", 400}, {"units=2", "units=-1", 400}, {"units=2", "units=NaN", 400}, {"units=2", "units=+2", 400},
+		{"units=2", "units=5", 400}, {"units=2,", "", 400}, {"spread=3", "spread=0", 400}, {"spread=3", "spread=4", 400},
+		{"units=2", "units=2,units=2", 400}, {"first=1", "first=0.5", 400}, {"first=1", "first=99999999999999999999", 400},
 		{"first=1", "first=3", 400}, {"first=1", "first=-1", 400}, {"first=1", "first=x", 400},
+		{"00000000b4d65521", "00000000B4D65521", 404}, // one customer, one name
+		{"Plan: team\n", "Plan: team\nPlan: team\n", 400}, {"X-Budget: 480m\n", "X-Budget: 480m\nX-Budget: 9m\n", 400},
+		{"X-Call-Id: 9b1f03aa5c7e2d41", "X-Call-Id: a\nX-Call-Id: b", 400}, {"9b1f03aa5c7e2d41", "a b", 400},
+		{"9b1f03aa5c7e2d41", strings.Repeat("a", maxWord+1), 400},
+		{"Idempotency-Key: 5c0f\n", "", 400}, {"Key: 5c0f\n", "Key: 5c0f\nIdempotency-Key: 5c0f\n", 400},
+		{"POST /post/", "PUT /post/", 405}, {"POST /post/", "POST /read/", 405}, {"POST /post/", "GET /read/", 405},
+		{"/post/x/00000000b4d65521", "http://h/post/x/00000000b4d65521", 404}, {"POST /post/x/00000000b4d65521?q=%41", "OPTIONS *", 404},
+		{"HTTP/1.1", "HTTP/1.0", 505},
 		{"Content-Length: 5\n\n12345", "Content-Length: 65537\n\n", 413},
-		{"Content-Length: 5\n\n12345", "Transfer-Encoding: chunked\n\n10001\n" + strings.Repeat("x", 65537) + "\n0\n\n", 413},
+		{"Content-Length: 5\n\n12345", "Content-Length: 60000000\n\n123", 413},
+		// Half a body, and nothing more: the answer does not wait for it.
+		{"Content-Length: 5\n\n12345", "Content-Length: 99\nPlan: gold\n\n12345", 400},
+		// A length beside chunks may hide another req in what follows.
+		{"Content-Length: 5\n", "Content-Length: 5\nTransfer-Encoding: chunked\n", 411},
+		{"Content-Length: 5\n\n12345", "Transfer-Encoding: chunked\nContent-Length: 5\n\n0\n\n" + good, 411},
+		{"Content-Length: 5\n\n12345", "Transfer-Encoding: chunked\n\n5\n12345\n0\n\n", 411},
+		{"POST /post/x/00000000b4d65521?q=%41 HTTP/1.1\n", "POST /post/x/00000000b4d65521 HTTP/1.0\nTransfer-Encoding: chunked\n", 505},
 	} {
 		s := r.session(t)
 		if !strings.Contains(good, c.old) {
@@ -185,22 +206,47 @@
 		if resp, _ := s.answer(); resp.StatusCode != c.status {
 			t.Errorf("%.40q for %q: %d, want %d", c.new, c.old, resp.StatusCode, c.status)
 		}
-		if ev := <-r.events; ev != (reducer.Malformed{}) {
+		if ev, ok := (<-r.events).(reducer.Malformed); !ok {
 			t.Errorf("%.40q for %q: posted %+v", c.new, c.old, ev)
 		}
+		if len(r.events) > 0 {
+			t.Errorf("%.40q for %q: posted %+v as well", c.new, c.old, <-r.events)
+		}
 	}
 }
 
-// No req waits for longer than its client session may be read from: the end of
-// that time would be taken for a client that left.
+// No req waits for longer than its class allows, and a client session is read
+// from for as long as any waits: an end would be taken for a client that left.
 func TestLongestBudget(t *testing.T) {
 	r := serve(t)
-	r.session(t).send(strings.Replace(good, "480m", "3000000m", 1))
+	r.session(t).send(strings.Replace(good, "480m", "50050m", 1))
 	if ev := (<-r.events).(*reducer.Arrived); ev.Budget != 50*time.Second || r.server.ReadTimeout != 0 {
 		t.Errorf("waits %v, read from for %v", ev.Budget, r.server.ReadTimeout)
 	}
 }
 
+// What net/http itself cannot read is answered 4xx or 5xx or closed, never
+// taken for a req, and counted.
+func TestUnreadable(t *testing.T) {
+	r := serve(t)
+	for _, text := range []string{
+		"\x00\xff\n\n", "GET\n\n", strings.Replace(good, ": 5\n", ": -5\n", 1), strings.Replace(good, ": 5\n", ": 5\nContent-Length: 6\n", 1),
+		strings.Replace(good, ": 5\n", ": 99999999999999999999\n", 1), strings.Replace(good, ": 5\n", ": five\n", 1),
+		strings.Replace(good, "Content-Length: 5", "Transfer-Encoding : chunked", 1),
+		strings.Replace(good, "Content-Length: 5", "Transfer-Encoding: gzip, chunked", 1),
+		strings.Replace(good, "Plan", "X: "+strings.Repeat("x", 40<<10)+"\nPlan", 1),
+	} {
+		s := r.session(t)
+		s.send(text)
+		if resp, err := http.ReadResponse(s.in, nil); err == nil && resp.StatusCode < 400 {
+			t.Errorf("%.60q: %d", text, resp.StatusCode)
+		}
+		if ev := *(<-r.events).(*reducer.SessionClosed); !ev.Unread {
+			t.Errorf("%.60q: %+v", text, ev)
+		}
+	}
+}
+
 // The longest body that is allowed is taken.
 func TestLongestBody(t *testing.T) {
 	r := serve(t)
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -244,7 +244,9 @@
 // CloseWrite ends the sending; net/http leaves the client half a second more
 // to read its last answer.
 func (s *session) CloseWrite() error {
-	s.enter(ending)
+	if was := s.enter(ending); was == reading { // net/http could not read it and has said so
+		s.all.onClose(was)
+	}
 	if c, ok := s.Conn.(interface{ CloseWrite() error }); ok {
 		return c.CloseWrite()
 	}
--- a/internal/front/sessions_test.go
+++ b/internal/front/sessions_test.go
@@ -142,7 +142,7 @@
 	if resp, _ := s.answer(); resp.StatusCode != 408 || !resp.Close {
 		t.Errorf("%d, closes %v", resp.StatusCode, resp.Close)
 	}
-	if ev := <-r.events; ev != (reducer.Malformed{}) {
+	if ev := <-r.events; ev != (reducer.Malformed{Cause: reducer.BadFraming}) {
 		t.Errorf("posted %+v", ev)
 	}
 	if _, err := s.in.ReadByte(); err != io.EOF {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -90,10 +90,10 @@
 	}()
 
 	base := "http://" + <-listening
-	ask := func() (int, string) {
+	ask := func(id string) (int, string) {
 		req, _ := http.NewRequest("GET", base+"/read/00000000b4d65521", nil)
 		for name, v := range map[string]string{
-			"X-Call-Id": "id7", "Plan": "small", "X-Budget": "29000m", "Quota-Info": "units=1,spread=1,first=0",
+			"X-Call-Id": id, "Plan": "small", "X-Budget": "29000m", "Quota-Info": "units=1,spread=1,first=0",
 		} {
 			req.Header.Set(name, v)
 		}
@@ -108,13 +108,13 @@
 	}
 	answered := make(chan bool)
 	go func() {
-		if status, body := ask(); status != 200 || body != "answer to id7" {
+		if status, body := ask("id7"); status != 200 || body != "answer to id7" {
 			t.Errorf("%d %q", status, body)
 		}
 		answered <- true
 	}()
 	<-took
-	if status, _ := ask(); status != 429 {
+	if status, _ := ask("id8"); status != 429 {
 		t.Errorf("beyond the quota: %d", status)
 	}
 	dump <- syscall.SIGUSR1
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -25,14 +25,34 @@
 type Arrived struct {
 	lemongate.Request
 	At      time.Duration // when its last byte came
+	CallID  string        // the client's own name for it; no two that are open share one
 	Content Content
 }
 
 // Left tells that the client of a req has gone away.
 type Left struct{ Req ReqID }
 
-// Malformed tells of a req that was answered at the edge as no valid one.
-type Malformed struct{}
+// Malformed tells of a req that was turned away at the edge as no valid one.
+type Malformed struct{ Cause Cause }
+
+// A Cause says what was wrong with it.
+type Cause uint8
+
+const (
+	BadTarget  Cause = iota // no such class or customer
+	BadMethod               // not the class's method, or a body where it has none
+	BadID                   // X-Call-Id or Idempotency-Key missing, doubled or odd
+	BadPlan                 // no such plan
+	BadBudget               // no number, or longer than anyone waits
+	BadQuota                // units or set out of range or no numbers
+	BadFraming              // where it ends is in doubt, or it did not come whole
+	OpenID                  // its X-Call-Id is that of a req that is open
+	nCauses
+)
+
+func (c Cause) String() string {
+	return [...]string{"target", "method", "id", "plan", "budget", "quota", "framing", "open_id"}[c]
+}
 
 // SessionClosed tells of a client session that the front closed by itself, for
 // want of a use or of room. Unread means that no req had come whole on it, or
@@ -136,6 +156,7 @@
 	Served  AnswerKind = iota // with a backend's answer
 	Refused                   // synthetic answer: not served, a new try does no harm
 	Failed                    // synthetic answer: not served, it may have run
+	Clashed                   // synthetic answer: turned away, its id is another's
 )
 
 // Answer gives a req its one final answer.
--- a/internal/reducer/model_test.go
+++ b/internal/reducer/model_test.go
@@ -46,7 +46,9 @@
 	starts  map[ReqID]int
 	live    map[string]bool
 	timer   time.Duration
-	done    ReqID // its fetch ended Done in this step
+	calls   map[ReqID]string // ids of the reqs that are open
+	done    ReqID            // its fetch ended Done in this step
+	clash   ReqID            // it came in this step, under the id of one that is open
 	exit    bool
 	lastReq ReqID
 }
@@ -57,7 +59,8 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Answer:
-			if _, owed := m.open[e.Req]; !owed || (e.Kind == Served) != (e.Req == m.done) {
+			clash := e.Kind == Clashed // for a req that came under an open id, and only then
+			if _, owed := m.open[e.Req]; !owed || (e.Kind == Served) != (e.Req == m.done) || clash != (e.Req == m.clash) {
 				m.t.Fatalf("answer %+v: owed %v, served now %v", e, owed, m.done)
 			}
 			delete(m.open, e.Req)
@@ -77,7 +80,22 @@
 			m.exit = true
 		}
 	}
-	m.done = 0
+	m.done, m.clash = 0, 0
+}
+
+// taken tells whether an open req, or one with a fetch out, has an id.
+func (m *model) taken(id string) bool {
+	for q := range m.open {
+		if m.calls[q] == id {
+			return true
+		}
+	}
+	for _, f := range m.out {
+		if m.calls[f.Req] == id {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *model) drop(id FetchID) {
@@ -116,7 +134,7 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
-			t: t, now: time.Hour, open: map[ReqID]time.Duration{}, starts: map[ReqID]int{},
+			t: t, now: time.Hour, open: map[ReqID]time.Duration{}, starts: map[ReqID]int{}, calls: map[ReqID]string{},
 			live: map[string]bool{"b1": true, "b2": true},
 		}
 		known := []Entry{{lemongate.Backend{ID: "b1", Zone: "a"}, "h:1"}, {lemongate.Backend{ID: "b2", Zone: "a"}, "h:2"}}
@@ -129,8 +147,14 @@
 				m.lastReq++
 				class := rapid.SampledFrom(testSettings.Classes).Draw(t, "class")
 				budget := time.Duration(rapid.IntRange(1, 3000).Draw(t, "budget")) * time.Millisecond
+				call := rapid.SampledFrom([]string{"", "i", "j", "k"}).Draw(t, "id")
+				if call != "" && m.taken(call) {
+					m.clash = m.lastReq
+				} else if call != "" {
+					m.calls[m.lastReq] = call
+				}
 				m.open[m.lastReq] = m.now + budget
-				m.step(&Arrived{At: m.now, Request: lemongate.Request{
+				m.step(&Arrived{At: m.now, CallID: call, Request: lemongate.Request{
 					ID: m.lastReq, Class: class.Name, Plan: "small", Units: 1, Budget: budget, Spread: 1,
 					Customer: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "customer"),
 				}})
@@ -145,7 +169,7 @@
 				if _, owed := m.open[id.Req]; owed && result == lemongate.Done {
 					m.done = id.Req
 				}
-				m.step(&FetchEnded{Fetch: id, Result: result, Report: []float64{0.5}})
+				m.step(&FetchEnded{Fetch: id, Result: result, Report: []float64{0.5}, Spoilt: result == lemongate.Broken})
 			},
 			"late end": func(t *rapid.T) { // of a fetch that was never made or has ended
 				m.step(&FetchEnded{Fetch: FetchID{m.lastReq + 1, 0}, Result: lemongate.Done})
@@ -163,6 +187,9 @@
 				e := Entry{lemongate.Backend{ID: id, Zone: "a", State: state, Started: started}, "h:9"}
 				m.step(&Listed{Kind: lemongate.ListChanges, Entries: []Entry{e}})
 			},
+			"malformed": func(t *rapid.T) { // what is no req costs a count and no more
+				m.step(Malformed{Cause: Cause(rapid.IntRange(0, int(nCauses)-1).Draw(t, "cause"))})
+			},
 			"hear": func(t *rapid.T) {
 				m.step(&Heard{rapid.IntRange(-1, 2).Draw(t, "from"), rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "data")})
 			},
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -54,6 +54,7 @@
 	phase    Phase
 	now      time.Duration
 	reqs     map[ReqID]*req
+	calls    map[string]ReqID // the clients' own names of these
 	fetches  map[FetchID]*fetch
 	backends map[string]*Entry // all ever listed
 	source   string            // where discovery is watched
@@ -71,6 +72,7 @@
 // A req is one that was taken in and is not over or has a fetch out.
 type req struct {
 	id       ReqID
+	callID   string
 	effect   lemongate.Effect
 	deadline time.Duration
 	content  Content
@@ -91,7 +93,7 @@
 func New(now time.Duration, c Config) (*Reducer, []Effect) {
 	r := &Reducer{
 		set: c.Settings, gate: lemongate.New(c.Settings, c.Seed), now: now, setAt: math.MaxInt64,
-		reqs: map[ReqID]*req{}, fetches: map[FetchID]*fetch{}, backends: map[string]*Entry{},
+		reqs: map[ReqID]*req{}, calls: map[string]ReqID{}, fetches: map[FetchID]*fetch{}, backends: map[string]*Entry{},
 		wakes: map[string]time.Duration{}, source: c.Discovery,
 	}
 	r.timers.add(timer{at: now + settleWithin, kind: settleTimer})
@@ -130,7 +132,7 @@
 	case *Left:
 		r.left(ev.Req)
 	case Malformed:
-		r.count.Malformed++
+		r.count.Malformed[ev.Cause]++
 	case *SessionClosed:
 		if ev.Unread {
 			r.count.ClosedUnread++
@@ -255,9 +257,20 @@
 
 // arrived takes a req in and arms its deadline: an answer is owed even if the
 // Gateway stays silent.
+//
+// A req under the id of one that is open is turned away: backends and clients
+// would take the answer of one for the other's.
 func (r *Reducer) arrived(ev *Arrived) {
+	if ev.CallID != "" {
+		if _, open := r.calls[ev.CallID]; open {
+			r.count.Malformed[OpenID]++
+			r.do(Answer{Req: ev.ID, Kind: Clashed})
+			return
+		}
+		r.calls[ev.CallID] = ev.ID
+	}
 	r.count.Received++
-	q := &req{id: ev.ID, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content}
+	q := &req{id: ev.ID, callID: ev.CallID, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content}
 	for i := range r.set.Classes {
 		if r.set.Classes[i].Name == ev.Class {
 			q.effect = r.set.Classes[i].Effect
@@ -318,6 +331,7 @@
 func (r *Reducer) forget(q *req) {
 	if q.answered && q.open == 0 {
 		delete(r.reqs, q.id)
+		delete(r.calls, q.callID)
 	}
 }
 
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -227,3 +227,24 @@
 		t.Error("read after the end")
 	}
 }
+
+// No two open reqs share a client's id: the second is turned away at once and
+// does not touch the first, whose id is free again once nothing of it is out.
+func TestOpenID(t *testing.T) {
+	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
+	ask := func(id ReqID) []Effect {
+		ev := read(id, time.Hour, time.Second)
+		ev.CallID = "x"
+		return r.Step(time.Hour, ev)
+	}
+	ask(1)
+	if got := ask(2); len(got) != 1 || got[0] != (Answer{Req: 2, Kind: Clashed}) || len(r.reqs) != 1 {
+		t.Errorf("the second brought %+v", got)
+	}
+	if got := only[Answer](r.Step(time.Hour, &FetchEnded{Fetch: FetchID{1, 0}, Result: lemongate.Done})); len(got) != 1 || got[0].Kind != Served {
+		t.Errorf("the first ended with %+v", got)
+	}
+	if got := only[StartFetch](ask(3)); len(got) != 1 || r.Counters().Malformed[OpenID] != 1 || len(r.calls) != 1 {
+		t.Errorf("the third brought %+v", got)
+	}
+}
