Forget backends that are gone and customers whose stores are full; hold less than half a time

Seen: read in the code and shown by tests: reducer.backends and the module's known kept every id ever listed, and a customer stayed for 72 s, at 140 req/s of customers that mostly come once some 10,000 of them (a 32 MB machine holds no such table).

At fault: reducer.listed and merge never deleted; forgetAims alone bounded customers. expire, nextClass and unheard went by the aim alone.

Change: what is gone is deleted, in the module after the time of forgetting (a lost backend may come back as it was). Customers go after four times the filling of their stores. A home begins anew with a gateway not heard of for three quarters of that, and a gateway idle for half of it asks first, so that no use is lost or given back between the two. startBy bounds every hold.

--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -56,7 +56,7 @@
 	reqs     map[ReqID]*req
 	calls    map[string]ReqID // the clients' own names of these
 	fetches  map[FetchID]*fetch
-	backends map[string]*Entry // all ever listed
+	backends map[string]*Entry // listed and not gone
 	source   string            // where discovery is watched
 	reading  bool              // the configuration is being read again
 	again    bool              // and is to be once more: it may have changed meanwhile
@@ -377,7 +377,8 @@
 }
 
 // listed brings the list up to date. What drains, is gone or has started anew
-// keeps no connection that a new fetch could use.
+// keeps no connection that a new fetch could use. What is gone is forgotten:
+// on most days backends are replaced under new ids, and never come back.
 func (r *Reducer) listed(ev *Listed) {
 	r.count.Lists++
 	list := &lemongate.List{Kind: ev.Kind}
@@ -389,21 +390,22 @@
 		if old != nil && (e.State != lemongate.Live || e.Started != old.Started || e.Addr != old.Addr) {
 			r.do(DropBackend{Backend: e.ID})
 		}
-		if old != nil && e.Addr == "" { // one that is gone may come without
-			e.Addr = old.Addr
+		if e.State == lemongate.Dead {
+			delete(r.backends, e.ID)
+			continue
 		}
 		r.backends[e.ID] = &e
 	}
 	if ev.Kind == lemongate.ListFull || ev.Kind == lemongate.ListCached {
 		var missing []string
-		for id, b := range r.backends {
-			if !named[id] && b.State != lemongate.Dead {
+		for id := range r.backends {
+			if !named[id] {
 				missing = append(missing, id)
 			}
 		}
 		slices.Sort(missing) // in the same order every time
 		for _, id := range missing {
-			r.backends[id].State = lemongate.Dead
+			delete(r.backends, id)
 			r.do(DropBackend{Backend: id})
 		}
 	}
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -248,3 +249,22 @@
 		t.Errorf("the third brought %+v", got)
 	}
 }
+
+// On most days backends are replaced under new ids: those that are gone are
+// forgotten, whether they are told as removed or left out of a whole list.
+func TestForgetsGoneBackends(t *testing.T) {
+	r := start(t)
+	for i := range 50 {
+		a, b := fmt.Sprint("a", i), fmt.Sprint("b", i)
+		r.Step(time.Hour, &Listed{Kind: lemongate.ListFull, Entries: []Entry{
+			entry(a, "h:1", lemongate.Live, 0), entry(b, "h:2", lemongate.Live, 0),
+		}})
+		got := only[DropBackend](r.Step(time.Hour, &Listed{Kind: lemongate.ListChanges, Entries: []Entry{entry(a, "", lemongate.Dead, 0)}}))
+		if len(got) != 1 || got[0].Backend != a {
+			t.Fatalf("dropped %v", got)
+		}
+	}
+	if len(r.backends) != 1 {
+		t.Errorf("%d backends kept", len(r.backends))
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -31,6 +31,7 @@
 	budgetLeast  = 0.25 // part of the tries that have the usual budget, if there is a usual one
 	budgetSame   = 50   // budgets are the same within this part of the shortest aim: the way of a request
 	holdSpare    = 2.0  // mean latencies that a held request must have left: most then come in time
+	holdPart     = 0.45 // of a client's time: longest hold; the way here and back takes of it as well
 	windowGrow   = 1.4  // most widening per period, while the window binds
 	windowCut    = 0.4  // most narrowing per period; one attempt counts up to its part of the aim over this
 	windowLeast  = 0.1  // narrowest window, in terms of the one that the quotas served here call for
@@ -62,7 +63,9 @@
 	othersLeast  = 0.25 // of the rate: what others may take unseen
 	knownSpare   = 0.2  // of the burst: more than this must be left to send without the home's word
 	openAims     = 2.0  // longest aims after which attempts that were told are over, or their gateway is
-	forgetAims   = 60.0 // aims after which an idle customer is forgotten
+	forgetAims   = 60.0 // aims after which an idle customer is forgotten at the latest
+	forgetLeast  = 20.0 // and before which none is: what is out and told of it is over by then
+	forgetFull   = 4.0  // times that its stores need to fill, between the two
 	failWeight   = 0.2  // weight of one outcome in a backend's failure share
 	failEject    = 0.4  // failure share that ejects: two to three failures in a row
 	failDear     = 4.0  // how much dearer a wholly failing backend looks; as all that was seen, it fades
@@ -94,9 +97,14 @@
 	g.retryMost = 1 + retryBurst/float64(g.set.Gateways)
 	g.retryTokens, g.mute, g.carry.amount = g.retryMost, -1, 1
 	g.scale, g.typical, g.strain, g.reach = 1, 1, 1, 1
-	g.memory, g.period, g.forget = g.aimLong.Seconds(), periodAims*g.aimLong.Seconds(), forgetAims*g.aimLong
+	g.memory, g.period, g.forget = g.aimLong.Seconds(), periodAims*g.aimLong.Seconds(), forgetLeast*g.aimLong
 	g.wakeAt, g.dueAt, g.roundTrip = math.MaxInt64, math.MaxInt64, askMost*g.aimShort.Seconds()/askTrips
 	g.gap = seconds(float64(min(g.set.Gateways-1, tellSenders)) / (tellUse * max(g.set.PeerInPerSec, 1)))
+	// A customer idle until all its stores are full again is as good as a new one, and most come only once.
+	for _, p := range set.Plans {
+		full := max(p.Burst/max(p.Rate, 1e-3), p.CeilingBurst/max(p.CeilingRate, 1e-3))
+		g.forget = max(g.forget, min(seconds(forgetFull*full), forgetAims*g.aimLong))
+	}
 	slices.SortStableFunc(g.preferred, func(a, b *class) int {
 		return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Aim, b.Aim))
 	})
@@ -160,12 +168,12 @@
 	r.class.arrivals++
 	r.held = true
 	r.customer.held++
-	if g.full() && g.wait(r.class)+g.spare(r.class) > (r.limit-g.now).Seconds() {
+	if g.full() && g.wait(r.class) > (g.startBy(r)-g.now).Seconds() {
 		g.end(r)
 		return
 	}
 	r.class.queue = append(r.class.queue, r)
-	g.by(r.limit - seconds(g.spare(r.class)))
+	g.by(g.startBy(r))
 	g.dispatch()
 }
 
@@ -191,6 +199,12 @@
 	return holdSpare * min(c.mean, serveShare*c.Aim.Seconds())
 }
 
+// startBy is when a held request must have been sent to be of use. Trouble: one that is refused after
+// half of its time with nothing sent costs more than its worth, so by then it is sent or refused.
+func (g *Gateway) startBy(r *request) time.Duration {
+	return min(r.limit-seconds(g.spare(r.class)), r.came+seconds(holdPart*r.Budget.Seconds()))
+}
+
 // full tells whether the window binds; what is at ejected backends may never come back. Trouble: a window
 // under one never opens; so its part of an attempt is carried over, and goes when none is out (ia3ba8e).
 func (g *Gateway) full() bool {
@@ -243,7 +257,7 @@
 	margin := g.aimShort / beatsPerAim * 2
 	for _, c := range g.preferred {
 		for _, r := range c.queue {
-			if at := r.limit - seconds(g.spare(c)) - margin; !r.over && g.now > at {
+			if at := g.startBy(r) - margin; !r.over && g.now > at {
 				g.end(r)
 			} else if !r.over {
 				g.by(at + g.set.Tick)
@@ -258,7 +272,7 @@
 	for _, c := range g.preferred {
 		for len(c.queue) > 0 {
 			r := c.queue[0]
-			if !r.over && g.now.Seconds()+g.spare(c) <= r.limit.Seconds() {
+			if !r.over && g.now <= g.startBy(r) {
 				break
 			}
 			c.queue = c.queue[1:]
@@ -387,6 +401,9 @@
 			c.ranks = rank(c.hash, ev.First, c.size, g.set.Gateways, homeRanks)
 		}
 	}
+	if g.now-c.seen > g.forget/2 {
+		c.known = false // its home may begin anew with this gateway, so it is asked first
+	}
 	c.seen = g.now
 	c.units += momentWeight * (ev.Units - c.units)
 	return c
@@ -471,7 +488,7 @@
 	if !c.waits {
 		c.waits, g.asking = true, append(g.asking, c)
 	}
-	g.by(c.asks[len(c.asks)-1].limit - g.aimShort/beatsPerAim*2)
+	g.by(g.startBy(c.asks[len(c.asks)-1]) - g.aimShort/beatsPerAim*2)
 	g.tell(c, c.askTo, 0)
 }
 
@@ -487,7 +504,7 @@
 	margin := g.aimShort / beatsPerAim * 2
 	for _, c := range g.waits() {
 		for _, r := range c.asks {
-			if at := r.limit - margin; !r.over && g.now >= at {
+			if at := min(r.limit, g.startBy(r)) - margin; !r.over && g.now >= at {
 				g.end(r)
 			} else {
 				g.by(at)
--- a/policy_test.go
+++ b/policy_test.go
@@ -648,6 +648,75 @@
 	}
 }
 
+// Backends that are replaced under new ids are not kept for good, nor those that a whole list leaves out;
+// one that only drains is, as it may come back.
+func TestForgetsGoneBackends(t *testing.T) {
+	b := newBench(t, settings())
+	for i := range 50 {
+		list := fleet(fmt.Sprint("s", i), "drains", fmt.Sprint("left out", i))
+		list[1].State = Draining
+		b.do(&List{Kind: ListFull, Backends: list})
+		gone := list[0]
+		gone.State = Dead
+		b.do(&List{Kind: ListChanges, Backends: []Backend{gone}})
+		b.now += b.g.forget
+	}
+	if len(b.g.known) > 8 || len(b.g.backends) != 1 {
+		t.Errorf("%d known, %d in use", len(b.g.known), len(b.g.backends))
+	}
+}
+
+// A customer is forgotten once its stores are full again: many come only once. A home that has not takes
+// what a gateway then reports as a new beginning, and gives nothing back for it.
+func TestForgottenElsewhere(t *testing.T) {
+	b := newBench(t, settings(), fleet("a", "b")...)
+	n := 0
+	for ; rank(hashOf(fmt.Sprint("c", n)), 0, 2, 2, 1)[0] != 0; n++ {
+	}
+	name, seq := fmt.Sprint("c", n), uint8(0)
+	report := func(total, want float64) {
+		seq++
+		m := peermsg.Message{Epoch: 9, Seq: seq, Asks: []peermsg.Ask{{
+			Customer: hashOf(name), Total: parts(total), Want: parts(want), Level: peermsg.Unknown,
+		}}}
+		b.do(&PeerMessage{From: 1, Data: m.Append(nil)})
+	}
+	report(0, 0)
+	report(2, 0)
+	for b.now < 14*time.Second { // busy here all along
+		b.pass(1000 * ms)
+		b.ask("read", "small", name)
+	}
+	before := b.g.customers[name].level
+	report(0, 2)
+	if got := b.g.customers[name].level; got > before-1.5 {
+		t.Errorf("the store went from %.1f to %.1f, want two units less", before, got)
+	}
+	if b.g.forget != 16*time.Second {
+		t.Errorf("forgotten after %v", b.g.forget)
+	}
+}
+
+// What is not sent by half of its client's time is refused before, not after: later it costs more than
+// its worth. Its aim alone would hold it for longer.
+func TestHeldForLessThanHalf(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim = 1900 * ms
+	b := newBench(t, set) // no backend: all are held
+	for _, plan := range []string{"free", "small"} {
+		b.do(&Request{ID: b.next, Class: "read", Plan: plan, Customer: plan, Units: 1, Budget: time.Second, Spread: 2})
+		b.next++
+	}
+	b.pass(400 * ms)
+	if got := only[Refuse](b.take()); len(got) != 0 {
+		t.Errorf("%d refused while there is time", len(got))
+	}
+	b.pass(100 * ms)
+	if got := only[Refuse](b.take()); len(got) != 2 {
+		t.Errorf("%d of 2 refused by half of their time", len(got))
+	}
+}
+
 // Two gateways given the same events act the same.
 func TestDeterminism(t *testing.T) {
 	play := func() []Action {
--- a/state.go
+++ b/state.go
@@ -142,6 +142,7 @@
 	doubts int                   // ejections in a row
 	turned map[int]time.Duration // kinds of request turned away; left alone until then
 	gone   bool
+	left   time.Duration // when it went, 0 while it is listed
 
 	key   uint16        // what peers call it
 	load  float64       // against its fellows, as anyone saw it last
@@ -323,8 +324,11 @@
 // A backend that started again has its attempts still out, but no past.
 func (g *Gateway) merge(ev *List) []*backend {
 	if ev.Kind != ListChanges {
-		for _, b := range g.backends {
-			b.gone = true
+		for _, b := range g.known {
+			b.State, b.gone = Dead, true // until it is named
+			if b.left == 0 {
+				b.left = g.now
+			}
 		}
 	}
 	var started []*backend
@@ -342,13 +346,20 @@
 			g.known[e.ID] = b
 			started = append(started, b)
 		}
-		b.Backend, b.gone = e, e.State != Live
+		if b.Backend, b.gone = e, e.State != Live; e.State != Dead {
+			b.left = 0
+		} else if b.left == 0 {
+			b.left = g.now
+		}
 	}
+	clear(g.backends) // what stood beyond the new end must not be kept
 	g.backends = g.backends[:0]
 	clear(g.byKey)
-	for _, b := range g.known {
+	for id, b := range g.known {
 		if !b.gone {
 			g.backends = append(g.backends, b)
+		} else if len(b.open) == 0 && b.left > 0 && g.now-b.left > g.forget {
+			delete(g.known, id) // a lost one may come back as it was, but most are replaced under new ids
 		}
 	}
 	slices.SortFunc(g.backends, func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
@@ -537,8 +548,10 @@
 	return sent, left, max(signed(a.Total+a.Want, h.drawn), 0)
 }
 
-// holder finds or starts the record of a gateway that reports a customer here.
-func (c *customer) holder(p *peer, total uint16) *holder {
+// holder finds or starts the record of a gateway that reports a customer here. One not heard of for long
+// may have forgotten the customer and count from nothing again; or else it asks before it sends, so that
+// all it took is booked already.
+func (c *customer) holder(p *peer, total uint16, now, forget time.Duration) *holder {
 	h := c.holders[p.number]
 	switch {
 	case h == nil: // what it took before now is another home's
@@ -546,6 +559,8 @@
 		c.holders[p.number] = h
 	case h.epoch != p.epoch: // it started anew, from nothing
 		h.epoch, h.drawn = p.epoch, 0
+	case now-h.at > forget*3/4:
+		h.drawn = total
 	}
 	return h
 }
@@ -705,7 +720,7 @@
 			c.level = min(c.level, float64(a.Level)/(peermsg.Unknown-1)*c.plan.Burst)
 		}
 	}
-	h := c.holder(p, a.Total)
+	h := c.holder(p, a.Total, g.now, g.forget)
 	c.seen, h.at = g.now, g.now
 	return c, h
 }
