Ask discovery again at once after a line that cannot be read

Replayed with logs, discovery sent lines cut off or with NUL bytes in them, two in a row on one limiter, and went silent without empty lines. Ruled out: late sends on old connections (fetch holds a dropped backend's first byte back) and the reducer (every list that was read took effect in its step).

At fault: Watcher.Run paused 0.2, 0.4 ... 2 s after such a line, though it counts as told when it is written; silentAfter was 7 s, longer than what discovery has to tell may take.

Change: pauses go from 10 ms to 0.5 s, silence is believed for 3 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,9 +22,14 @@
 )
 
 const (
-	silentAfter = 7 * time.Second // a line comes every 2 s; three of them missing means the stream is dead
-	backoffFrom = 200 * time.Millisecond
-	backoffMost = 2 * time.Second
+	// A line comes every 2 s. What discovery has to tell counts as told after a
+	// few seconds, whether it came or not, so a silent stream is not trusted longer.
+	silentAfter = 3 * time.Second
+	// A line that cannot be read counts as told too, and new sending must end
+	// 250 ms later: it is asked for again at once, which costs the agent on this
+	// machine nothing.
+	backoffFrom = 10 * time.Millisecond
+	backoffMost = 500 * time.Millisecond
 	dialWithin  = time.Second // for a connection to discovery, which is on this machine
 	maxLine     = 4 << 20     // of a list; far more than any fleet fills
 )
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -183,13 +183,29 @@
 	<-a.watches
 }
 
+// A change in a line that cannot be read counts as told with that line, and
+// new sending must end 250 ms later: even after three such lines in a row what
+// it said is asked for again in time.
+func TestBadLines(t *testing.T) {
+	a := newAgent(t)
+	var spent time.Duration
+	events := a.watcher(t, func(w *Watcher) { w.Pause = func(d time.Duration) { spent += d } })
+	for range 3 {
+		(<-a.watches).lines <- "{\"generation\x00:7}\n"
+	}
+	(<-a.watches).lines <- strings.Replace(change, "%", "8", 1)
+	if <-events; spent > 100*time.Millisecond {
+		t.Errorf("asked again after %v", spent)
+	}
+}
+
 // Pauses between failed watches grow up to a bound, and start again from the
 // least once a watch has brought something.
 func TestBackoff(t *testing.T) {
 	a := newAgent(t)
 	pauses := make(chan time.Duration, 1)
 	a.watcher(t, func(w *Watcher) { w.Pause = func(d time.Duration) { pauses <- d } })
-	for _, want := range []int{200, 400, 800, 1600, 2000, 2000} {
+	for _, want := range []int{10, 20, 40, 80, 160, 320, 500, 500} {
 		close((<-a.watches).lines)
 		if got := <-pauses; got != time.Duration(want)*time.Millisecond {
 			t.Errorf("pause %v, want %d ms", got, want)
