Decide by what is known here when a customer's home answers too late

At fault: Gateway.unheard held a request until its hold was over and refused it. With aims scaled to 140 req/s an ask and its answer each wait up to 0.1 s for the pace of messages, which the settings bound.

Change: past half of its hold a request goes by what this gateway knows: for a new customer its part of the burst, as the design has it, under its part of the ceiling. A home books totals of a gateway that was told nothing yet.

--- a/policy.go
+++ b/policy.go
@@ -420,16 +420,19 @@
 	return -1
 }
 
-// fill brings a customer's store up to now. Where no home answers, each gateway keeps its part.
+// fill brings a customer's store up to now. Where no home answers, or none has yet, each gateway keeps
+// its part.
 func (g *Gateway) fill(c *customer) {
 	dt := (g.now - c.at).Seconds()
 	part, most := 1.0, c.plan.Burst
 	if g.reach < reachCut {
 		part = g.reach // links are cut: the others have homes of their own
 	}
-	if g.home(c) < 0 && c.size > 1 {
+	if home := g.home(c); c.size > 1 && (home < 0 || home != g.set.Self && !c.told) {
 		part = 1 / float64(c.size)
-		most = min(max(most*part, c.units), most)
+		if most *= part; home < 0 {
+			most = min(max(most, c.units), c.plan.Burst)
+		}
 	}
 	c.at, c.level = g.now, min(c.level+dt*c.plan.Rate*part, most)
 	share := float64(max(c.size, 1))
@@ -488,7 +491,8 @@
 	if !c.waits {
 		c.waits, g.asking = true, append(g.asking, c)
 	}
-	g.by(g.startBy(c.asks[len(c.asks)-1]) - g.aimShort/beatsPerAim*2)
+	last := c.asks[len(c.asks)-1]
+	g.by(last.came + (g.startBy(last)-last.came)/2 - g.aimShort/beatsPerAim*2)
 	g.tell(c, c.askTo, 0)
 }
 
@@ -503,12 +507,20 @@
 func (g *Gateway) unheard() {
 	margin := g.aimShort / beatsPerAim * 2
 	for _, c := range g.waits() {
+		g.fill(c)
 		for _, r := range c.asks {
-			if at := min(r.limit, g.startBy(r)) - margin; !r.over && g.now >= at {
-				g.end(r)
-			} else {
-				g.by(at)
+			if at := r.came + (g.startBy(r)-r.came)/2 - margin; r.over || g.now < at {
+				g.by(max(at, g.now))
+				continue
 			}
+			// Trouble: with short aims the word may come too late for all. What this gateway knows decides
+			// then; the home hears of it with the next total.
+			ok := c.plan.Open <= 0 && c.level >= r.Units && (c.plan.CeilingRate <= 0 || c.ceiling >= r.Units)
+			g.decided(r, ok, askMost*g.aimShort.Seconds())
+			c.asks = slices.DeleteFunc(slices.Clone(c.asks), func(o *request) bool { return o == r })
+		}
+		if len(c.asks) == 0 {
+			continue
 		}
 		if g.now-c.askAt < g.patience() {
 			g.by(c.askAt + g.patience() + g.set.Tick)
@@ -610,7 +622,7 @@
 		g.reach += reachWeight * (1 - g.reach)
 	}
 	g.fill(c)
-	c.known, c.toldAt = true, g.now
+	c.known, c.told, c.toldAt = true, true, g.now
 	c.level = float64(a.Level)/math.MaxInt8*c.plan.Burst + signed(a.UpTo, c.total)
 	c.others = max(float64(a.Others)/othersPart*c.plan.Rate-c.use.value(g.now, g.memory), 0)
 	list, ok, left := c.settled(a)
--- a/policy_test.go
+++ b/policy_test.go
@@ -697,6 +697,50 @@
 	}
 }
 
+// Where a home lives but its word does not come, a request is not held until it is of no use: after half
+// of the hold its gateway decides by what it knows, for a new customer by its part of the burst. The home
+// books that with the next total. A ceiling binds here as everywhere.
+func TestLateWord(t *testing.T) {
+	for plan, want := range map[string]int{"small": 4, "capped": 6} {
+		b := newBench(t, settings(), fleet("a", "b", "c")...)
+		n := 0
+		for ; rank(hashOf(fmt.Sprint("c", n)), 0, 2, 2, 1)[0] != 1; n++ {
+		}
+		if plan == "capped" {
+			b.now = time.Second // its part of the ceiling holds 5 units by now, and 6 when it is decided
+		}
+		for range 10 {
+			b.ask("read", plan, fmt.Sprint("c", n))
+		}
+		if got := len(only[Send](b.take())); got != 0 {
+			t.Errorf("%s: %d sent before the home could answer", plan, got)
+		}
+		for seq := range uint8(70) {
+			b.pass(4 * ms)
+			m := peermsg.Message{Epoch: 9, Seq: seq + 1}
+			b.do(&PeerMessage{From: 1, Data: m.Append(nil)})
+		}
+		acts := b.take()
+		if sent, refused := len(only[Send](acts)), len(only[Refuse](acts)); sent != want || sent+refused != 10 {
+			t.Errorf("%s: %d sent and %d refused of 10, want %d sent", plan, sent, refused, want)
+		}
+		c := b.g.customers[fmt.Sprint("c", n)]
+		if a := b.g.entry(c); a.Total != parts(float64(want)) || a.Level != peermsg.Unknown {
+			t.Errorf("%s: told %+v", plan, a)
+		}
+	}
+}
+
+// A home books all that a gateway took before any home told it a level.
+func TestBooksFirstTotal(t *testing.T) {
+	b := newBench(t, settings(), fleet("a")...)
+	m := peermsg.Message{Epoch: 9, Seq: 1, Asks: []peermsg.Ask{{Customer: 5, Total: parts(3), Level: peermsg.Unknown}}}
+	b.do(&PeerMessage{From: 1, Data: m.Append(nil)})
+	if got := b.g.byHash[5].level; got != 8-3 {
+		t.Errorf("the store holds %.1f of 8 after 3 were taken", got)
+	}
+}
+
 // What is not sent by half of its client's time is refused before, not after: later it costs more than
 // its worth. Its aim alone would hold it for longer.
 func TestHeldForLessThanHalf(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -170,7 +170,8 @@
 	asks    []*request // wait for the home's word, in order
 	askTo   int
 	askAt   time.Duration
-	known   bool // a home has told its level
+	known   bool // a home has told its level of late
+	told    bool // or ever
 	toldAt  time.Duration
 	others  float64 // units a second that other gateways take
 	repeat  int     // times that a freed place is still to be told
@@ -458,7 +459,7 @@
 	for _, r := range c.asks {
 		a.Want += parts(r.Units)
 	}
-	if c.known && c.plan.Burst > 0 {
+	if c.told && c.plan.Burst > 0 {
 		a.Level = uint8(min(max(c.level/c.plan.Burst, 0), 1) * (peermsg.Unknown - 1))
 	}
 	return a
@@ -551,16 +552,20 @@
 // holder finds or starts the record of a gateway that reports a customer here. One not heard of for long
 // may have forgotten the customer and count from nothing again; or else it asks before it sends, so that
 // all it took is booked already.
-func (c *customer) holder(p *peer, total uint16, now, forget time.Duration) *holder {
+func (c *customer) holder(p *peer, a peermsg.Ask, now, forget time.Duration) *holder {
 	h := c.holders[p.number]
-	switch {
-	case h == nil: // what it took before now is another home's
-		h = &holder{epoch: p.epoch, drawn: total}
+	if h == nil {
+		h = &holder{epoch: p.epoch, at: now - forget}
 		c.holders[p.number] = h
+	}
+	switch {
 	case h.epoch != p.epoch: // it started anew, from nothing
 		h.epoch, h.drawn = p.epoch, 0
-	case now-h.at > forget*3/4:
-		h.drawn = total
+	case now-h.at <= forget*3/4:
+	case a.Level == peermsg.Unknown: // no home has told it anything yet
+		h.drawn = 0
+	default: // what it took before now is booked, or another home's
+		h.drawn = a.Total
 	}
 	return h
 }
@@ -720,7 +725,7 @@
 			c.level = min(c.level, float64(a.Level)/(peermsg.Unknown-1)*c.plan.Burst)
 		}
 	}
-	h := c.holder(p, a.Total, g.now, g.forget)
+	h := c.holder(p, a, g.now, g.forget)
 	c.seen, h.at = g.now, g.now
 	return c, h
 }
