Let a late word only grant by what is known here, and refuse at the end of the hold

At fault: Gateway.unheard refused at half of the hold what this gateway's small part of the burst did not cover, though the home's word was on its way.

Change: half of the hold may only grant; the rest waits for its end.

--- a/policy.go
+++ b/policy.go
@@ -509,15 +509,21 @@
 	for _, c := range g.waits() {
 		g.fill(c)
 		for _, r := range c.asks {
-			if at := r.came + (g.startBy(r)-r.came)/2 - margin; r.over || g.now < at {
-				g.by(max(at, g.now))
-				continue
-			}
-			// Trouble: with short aims the word may come too late for all. What this gateway knows decides
-			// then; the home hears of it with the next total.
+			half := r.came + (g.startBy(r)-r.came)/2 - margin
+			end := min(r.limit, g.startBy(r)) - margin
+			// Trouble: with short aims the word may come too late for all. Past half of the hold what this
+			// gateway knows may let a request go, and the home hears of it with the next total.
 			ok := c.plan.Open <= 0 && c.level >= r.Units && (c.plan.CeilingRate <= 0 || c.ceiling >= r.Units)
-			g.decided(r, ok, askMost*g.aimShort.Seconds())
-			c.asks = slices.DeleteFunc(slices.Clone(c.asks), func(o *request) bool { return o == r })
+			switch {
+			case r.over:
+			case g.now < half:
+				g.by(half)
+			case !ok && g.now < end:
+				g.by(end)
+			default:
+				g.decided(r, ok, askMost*g.aimShort.Seconds())
+				c.asks = slices.DeleteFunc(slices.Clone(c.asks), func(o *request) bool { return o == r })
+			}
 		}
 		if len(c.asks) == 0 {
 			continue
