Let a large set's home decide each req, and bound messages and probes over the whole tier

Ruled out: backends (util low, spread 1.8), CPU (0.4 s in 20 s), memory.

Causes: (1) greet/flush in state.go held a pace between pairs only, which 79 pairs multiply; (2) in sets over four four limiters held a quarter each, most often under one req, and others asked them in turn (holders, lend in ledger.go); ceilings lay in 80 parts of about one unit; (3) look probed for each req.

Change: messages are paced over all peers (news waits for spare pace, answers always go); a large set has one home that holds the stores whole and decides in the order of asks, two stand in for it with fixed parts of the ceiling, and tell of hot customers unasked; limiters without a word go by a small credit of bounded sum; probes are bounded to one a backend in 4 longest aims by the whole tier. Refusals are counted by cause.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -18,19 +18,34 @@
 	ledger      *Ledger
 	first, size int
 	part        float64 // base part of the quota's store, 0 where this is no holder
-	even        float64 // base part of the ceiling's store: one over the size of the set
-	places      int     // base places
-	lenders     []int   // the limiters that may help: the other holders
-	at          time.Duration
-	seen        time.Duration
-	quota       float64 // level: units that may be sent on here
-	ceiling     float64
-	doubt       float64 // units that the start left open, see Standing
-	held        float64 // units taken and not sent yet
-	largest     float64 // of a req, of late
-	taken       bool    // one was let go in doubt
-	demand      decayed
-	links       []link
+	even        float64 // one over the size of the set
+	roof        float64 // base part of the ceiling's store
+
+	// Of a large set alone, see home.go.
+	homes   []int   // the home, and those that stand in for it
+	mine    int     // this limiter's place among these, or -1
+	view    view    // what the home told
+	credit  saved   // units that may be sent on here without a word
+	debt    float64 // units so sent that the home was not told of
+	unasked float64 // units asked for here that the home was not told of
+	thin    float64 // asks of a hot customer that may go
+	asked   bool    // the req at the head waits for a word
+	word    int     // what came since
+	hinted  bool    // an asker told what the level was
+	granted time.Duration
+
+	places  int   // base places
+	lenders []int // the limiters that may help: the other holders
+	at      time.Duration
+	seen    time.Duration
+	quota   float64 // level: units that may be sent on here
+	ceiling float64
+	doubt   float64 // units that the start left open, see Standing
+	held    float64 // units taken and not sent yet
+	largest float64 // of a req, of late
+	taken   bool    // one was let go in doubt
+	demand  decayed
+	links   []link
 
 	drawn  uint16  // parts sent on in this life, modulo 2^16
 	whole  float64 // the true store, from what all say that they sent on; below 0 where nobody can say
@@ -59,6 +74,9 @@
 
 	out []grant // lent there, each until it ends: the peer goes by one of them
 
+	answer peermsg.Answer // the last one given, of a home
+	extra  uint8          // units asked for beside, of a large set
+
 	known  bool // what the peer told of itself
 	heir   bool // what it held was taken up
 	reborn bool // it did in an earlier life: what it tells next it sent on since
@@ -104,6 +122,14 @@
 // advance brings an account up to now: its stores fill by the parts that it has,
 // from one end of a loan to the next.
 func (a *Account) advance(now time.Duration) {
+	if !a.small() { // nothing is lent but places
+		if now > a.at {
+			a.fill((now - a.at).Seconds(), true)
+			a.at = now
+			a.expire()
+		}
+		return
+	}
 	a.void()
 	for a.at < now {
 		next := now
@@ -155,10 +181,13 @@
 // shares are the parts of the two stores that are this limiter's to fill, and
 // the units lent that are on their way and keep their room.
 func (a *Account) shares(ready bool) (quota, ceiling, units, over float64) {
-	quota, ceiling = a.part, a.even
+	quota, ceiling = a.part, a.roof
 	if !ready { // an earlier life may have lent as much as this
 		ceiling *= 1 - LendMost
 	}
+	if !a.small() {
+		return quota, ceiling, 0, 0
+	}
 	moved := 0.0
 	for i := range a.links {
 		k := &a.links[i]
@@ -177,11 +206,7 @@
 		}
 		quota += a.part * float64(dead) / float64(len(a.lenders)+1-dead)
 	}
-	quota += moved
-	if a.small() { // in a large set the ceiling's parts stay where they are
-		ceiling += moved
-	}
-	return max(quota, 0), max(ceiling, 0), units, over
+	return max(quota+moved, 0), max(ceiling+moved, 0), units, over
 }
 
 // lent is the share that the peer may be using: the answer that it goes by is not
@@ -201,7 +226,8 @@
 	return places
 }
 
-// small tells whether every limiter of the set has a base part of both stores.
+// small tells whether every limiter of the set has a base part of both stores; of
+// a large one only the home has.
 func (a *Account) small() bool { return a.size <= Holders }
 
 func (a *Account) plan() *Plan { return &a.ledger.Plans[a.Plan] }
@@ -211,7 +237,7 @@
 func (a *Account) readyAt() time.Duration {
 	l := a.ledger
 	at := l.born
-	if a.at >= l.born+lenderLease {
+	if a.at >= l.born+lenderLease || !a.small() {
 		return at
 	}
 	for i := range a.size {
@@ -237,7 +263,7 @@
 		}
 		n := 0
 		for _, o := range k.out {
-			if o.settled <= a.at && o.units+o.over > 0 {
+			if o.settled <= a.at && o.units+o.over > 0 && a.small() {
 				a.ledger.Count.Unheard += o.units
 				o.units, o.over = 0, 0
 			}
@@ -295,8 +321,11 @@
 // link finds or starts what stands with a peer.
 func (a *Account) link(who int) *link {
 	for i := range a.links {
-		if a.links[i].peer == who {
-			return &a.links[i]
+		if k := &a.links[i]; k.peer == who {
+			if p := a.ledger.peers[who]; !a.small() && p != nil && p.epoch != k.epoch {
+				*k = link{peer: who, epoch: p.epoch, queued: k.queued}
+			}
+			return k
 		}
 	}
 	k := link{peer: who}
@@ -339,10 +368,7 @@
 
 // peerPart is the base part of the quota's store that a peer has.
 func (a *Account) peerPart(who int) float64 {
-	if a.small() {
-		return a.even
-	}
-	return 1.0 / Holders // only holders are asked
+	return a.even
 }
 
 // tellWhole is what is known here of the true store.
@@ -441,8 +467,5 @@
 
 // debtMost is how far below nothing the store may go here on chance.
 func (a *Account) debtMost() float64 {
-	if a.part == 0 { // in a large set there would be too many such debts
-		return 0
-	}
 	return max(debtPart*a.plan().Quota.Burst*a.even, a.largest)
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -34,8 +34,10 @@
 	// LendMost is the part of its base that a limiter lends at most. What is left
 	// is its new life's at once after a restart.
 	LendMost = 0.75
-	// Holders is how many limiters of a large set have a part of a quota's store:
-	// with hundreds, each part would be under one unit.
+	// Holders is how many limiters of a set have a part of a customer's stores at
+	// most. A larger set has one, the customer's home, that holds them whole: with
+	// many parts each would be under one req, and every limiter that has none would
+	// ask them in turn, most often one that is empty.
 	Holders = 4
 
 	lenderWait   = askGivenUp + time.Duration(float64(askGivenUp)*2*Drift)
@@ -142,6 +144,7 @@
 	swept    int
 	peers    map[int]*peer
 	nonce    uint16
+	hotAt    int   // in order: where the search for hot customers goes on
 	ready    []int // peers to be told, in the order found
 }
 
@@ -210,6 +213,13 @@
 		l.order = append(l.order, a)
 		p := a.plan()
 		a.even = 1 / float64(a.size)
+		a.roof, a.mine = a.even, -1
+		if !a.small() {
+			a.settleHome(l)
+			a.advance(now)
+			a.seen = now
+			return a
+		}
 		list := l.holders(a)
 		for i, who := range list {
 			if who == l.Self {
@@ -222,10 +232,6 @@
 				a.lenders = append(a.lenders, who)
 			}
 		}
-		if n := len(a.lenders); !a.small() && n > 0 { // not all first to the same
-			turn := l.Self % n
-			a.lenders = append(a.lenders[turn:], a.lenders[:turn:turn]...)
-		}
 		// As if met at the start: what it sent before is not known. Most customers come only once.
 		a.advance(now)
 		if full := a.part * p.Quota.Burst; l.standing == Fresh {
@@ -241,18 +247,15 @@
 	return a
 }
 
-// holders are the limiters of a set that have a base part of the quota's store:
-// all of a small set, and of a large one the first by rendezvous hashing.
+// holders are the limiters of a small set, each of which has a base part of the
+// stores.
 func (l *Ledger) holders(a *Account) []int {
-	if a.small() {
-		list := make([]int, a.size)
-		turn := int(a.Hash) % a.size // so that odd places are spread over the set
-		for i := range list {
-			list[i] = (a.first + (i+turn)%a.size) % l.Limiters
-		}
-		return list
+	list := make([]int, a.size)
+	turn := int(a.Hash) % a.size // so that odd places are spread over the set
+	for i := range list {
+		list[i] = (a.first + (i+turn)%a.size) % l.Limiters
 	}
-	return rank(a.Hash, a.first, a.size, l.Limiters, Holders)
+	return list
 }
 
 // A Word is what the ledger says of a req.
@@ -269,7 +272,9 @@
 	a.demand.add(now, units)
 	l.total.add(now, units)
 	a.largest = max(units, a.largest+(units-a.largest)/16)
-	a.seen = now
+	if a.seen = now; !a.small() && a.mine != 0 {
+		a.unasked += units
+	}
 }
 
 // Reserve takes the units of a req if the customer has them, and else says
@@ -277,12 +282,13 @@
 // refusal it tells how long until the units may be there.
 func (l *Ledger) Reserve(a *Account, units float64, last bool, now time.Duration) (Word, time.Duration) {
 	a.advance(now)
+	if !a.small() {
+		return l.reserveLarge(a, units, last, now)
+	}
 	p := a.plan()
 	short, over, place := 0.0, 0.0, 0
 	if p.Quota.Rate > 0 && a.quota < units {
-		if short = units - a.quota; a.part == 0 { // nothing else will come to what is left
-			short = units
-		}
+		short = units - a.quota
 	}
 	if p.Ceiling.Rate > 0 {
 		over = max(units-a.ceiling, 0)
@@ -355,6 +361,10 @@
 	a.Sent(units)
 	if p := a.plan(); p.Quota.Rate > 0 {
 		a.quota += units
+		if !a.small() && a.mine < 0 && a.debt >= units { // the home was not told yet
+			a.debt -= units
+			a.quota -= units
+		}
 		a.whole += units
 		a.drawn -= uint16(math.Ceil(units * peermsg.Part))
 	}
@@ -429,7 +439,7 @@
 		news := now-k.heard > newsAfter
 		ceilings := p.Ceiling.Rate > 0 && overWant > 0
 		useful := !k.known || spare || renews || place > 0 || (lendable && busy || ceilings || urgent) && news
-		if !useful || now < k.rest || !a.small() && asked > 0 {
+		if !useful || now < k.rest {
 			continue
 		}
 		l.nonce++
@@ -481,6 +491,19 @@
 	return list
 }
 
+// Owes tells whether a peer waits for an answer. There are no more of them than asks
+// come in.
+func (l *Ledger) Owes(who int) bool {
+	p := l.peers[who]
+	return p != nil && len(p.answers) > 0
+}
+
+// Wants tells whether a peer is to be asked for something.
+func (l *Ledger) Wants(who int) bool {
+	p := l.peers[who]
+	return p != nil && len(p.asks) > 0
+}
+
 // Compose takes from what a peer is to be told what fits into a message, and
 // tells whether there is more.
 func (l *Ledger) Compose(who int, now time.Duration) (asks []peermsg.Ask, answers []peermsg.Answer, more bool) {
@@ -504,6 +527,9 @@
 	n := min(len(p.answers), peermsg.MaxAnswers)
 	answers, p.answers = p.answers[:n:n], p.answers[n:]
 	l.Count.Answers += uint64(n)
+	if l.Limiters > Holders && n < tellHot {
+		answers = append(answers, l.hot(tellHot-n, now)...)
+	}
 	if len(p.asks) == 0 {
 		p.asks = nil
 	}
@@ -512,6 +538,9 @@
 
 func (l *Ledger) ask(a *Account, k *link, now time.Duration) peermsg.Ask {
 	a.advance(now)
+	if !a.small() {
+		return a.askLarge(k, now)
+	}
 	quota, _, _, _ := a.shares(true)
 	return peermsg.Ask{
 		Customer: a.Hash, Plan: uint8(a.Plan), First: uint16(a.first), Size: uint8(a.size), Nonce: k.nonce,
@@ -593,6 +622,10 @@
 	}
 	a.seen = max(a.seen, seen)
 	a.advance(now)
+	if !a.small() {
+		l.askedLarge(who, a, m, now)
+		return
+	}
 	k := a.link(who)
 	a.reconcile(k, m.Level, m.Drawn, m.Demand, m.Whole, now)
 	for i := range k.out {
@@ -637,7 +670,7 @@
 	most = k.lent()
 	if p.Quota.Rate > 0 && (m.Want > 0 || m.Demand > 0) {
 		spare := min(quota+most-mine*spareMargin/p.Quota.Rate, LendMost*a.part-lent)
-		if !ready || !a.small() { // in a large set each asks once in a while and has no use for a share
+		if !ready {
 			spare = 0
 		}
 		lack := min(theirs*wantMargin/p.Quota.Rate, 1) - float64(m.Share)/peermsg.ShareSteps
@@ -649,16 +682,9 @@
 			fair = max(fair, a.quota-(quota+most-max(most, g.share))*p.Quota.Burst)
 		}
 		g.units = float64(parts(min(fair, a.quota))) / peermsg.Part
-		if want := float64(m.Want) / peermsg.Part; !a.small() && g.units < want {
-			g.units = 0 // a part of a req is of no use where nothing else comes in
-		}
 	}
 	if ready && p.Ceiling.Rate > 0 && m.Over > 0 {
-		share := g.share
-		if !a.small() {
-			share, lent, most = 0, 0, 0
-		}
-		room := LendMost*a.even*p.Ceiling.Burst - (lent+max(share, most))*p.Ceiling.Burst - overFlying
+		room := LendMost*a.even*p.Ceiling.Burst - (lent+max(g.share, most))*p.Ceiling.Burst - overFlying
 		most := a.ceiling * max(weight, 1-mine/max(mine+ceiling*p.Ceiling.Rate, 1e-6))
 		g.over = float64(parts(min(most, float64(m.Over)/peermsg.Part, max(room, 0)))) / peermsg.Part
 	}
@@ -686,6 +712,10 @@
 		return nil
 	}
 	a.advance(now)
+	if !a.small() {
+		l.answeredLarge(who, a, m, now)
+		return a
+	}
 	k := a.link(who)
 	if !k.pending || k.nonce != m.Nonce || now >= k.since+askGivenUp {
 		return nil
@@ -790,7 +820,7 @@
 	}
 	return a.Open == 0 && a.held == 0 && now >= a.readyAt() &&
 		(p.Quota.Rate <= 0 || a.quota >= a.part*p.Quota.Burst*0.999) &&
-		(p.Ceiling.Rate <= 0 || a.ceiling >= a.even*p.Ceiling.Burst*0.999)
+		(p.Ceiling.Rate <= 0 || a.ceiling >= a.roof*p.Ceiling.Burst*0.999)
 }
 
 // Counters tells the counters as they stand.
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"lemongate"
 	"lemongate/internal/quota"
 )
 
@@ -52,5 +53,6 @@
 	OpenFetches  int     `json:"open_fetches"`  // fetches out now
 	LiveBackends int     `json:"live_backends"` // listed and live now
 
-	Quota quota.Counters `json:"quota"` // rights on customers' stores
+	Turned lemongate.Turned `json:"turned"` // synthetic answers by cause
+	Quota  quota.Counters   `json:"quota"`  // rights on customers' stores
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -108,6 +108,7 @@
 func (r *Reducer) Counters() Counters {
 	c := r.count
 	c.OpenFetches, c.Quota = len(r.fetches), r.gate.Quota()
+	c.Turned = r.gate.Turned()
 	for _, q := range r.reqs {
 		if !q.answered {
 			c.OpenReqs++
--- a/policy.go
+++ b/policy.go
@@ -48,7 +48,7 @@
 	retryBurst   = 16.0 // further attempts saved up by all gateways, for a backend that dies with its work
 	retryTurned  = 0.25 // what one costs that was turned away: it was no work
 	tellUse      = 0.7  // part of a peer's intake that its busiest senders together fill at their pace
-	tellSenders  = 6    // how many these are at most: in a large fleet each pair talks seldom
+	tellSenders  = 6    // how many these are at most: in a large tier what all get together is bounded instead
 	tellBurst    = 4    // messages to one peer that may go without a pause
 	tellSights   = 3    // times that a sight is passed on
 	askMost      = 0.3  // of the shortest aim: longest wait for the others' word
@@ -75,6 +75,7 @@
 	sightSteps   = 32   // steps of age in the shortest aim
 	busyMargin   = 0.15 // a backend that is wholly busy waits this much less than forever
 	probeAims    = 1.0  // shortest aims after which a backend of which nothing is heard may be probed
+	probeRound   = 4.0  // longest aims in which all gateways together probe each backend once at most
 	turnedTimes  = 4    // times that a turning away took for which its kind stays away
 	unseenSlope  = 0.8  // of the median slope: a backend unseen for long looks a little better and is tried
 	memoryAims   = 5.0  // aims after which what was seen of an unused backend has faded to a third
@@ -90,6 +91,9 @@
 	g.scale, g.typical, g.strain = 1, 1, 1
 	g.memory, g.period, g.forget = g.aimLong.Seconds(), periodAims*g.aimLong.Seconds(), forgetAims*g.aimLong
 	g.wakeAt, g.dueAt = math.MaxInt64, math.MaxInt64
+	if g.set.Gateways-1 > tellSenders {
+		g.pause = seconds(1 / (tellUse * max(g.set.PeerInPerSec, 1)))
+	}
 	g.gap = seconds(float64(min(g.set.Gateways-1, tellSenders)) / (tellUse * max(g.set.PeerInPerSec, 1)))
 	slices.SortStableFunc(g.preferred, func(a, b *class) int {
 		return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Aim, b.Aim))
@@ -117,7 +121,7 @@
 	g.unstick()
 	g.dispatch()
 	for _, p := range g.telling {
-		g.by(max(p.due, p.paced))
+		g.by(max(p.due, p.paced, g.paced))
 	}
 }
 
@@ -151,6 +155,7 @@
 // decided goes on with a request whose quota is settled.
 func (g *Gateway) decided(r *request, ok bool, wait time.Duration) {
 	if !ok {
+		g.turned.Beyond++
 		g.do(Refuse{Request: r.ID, After: min(max(wait, 0), g.set.MaxRetryAfter)})
 		g.over(r)
 		return
@@ -160,6 +165,7 @@
 	r.customer.held++
 	g.places(r.customer)
 	if g.full() && g.wait(r.class) > (g.startBy(r)-g.now).Seconds() {
+		g.turned.Full++
 		g.end(r)
 		return
 	}
@@ -249,6 +255,7 @@
 	for _, c := range g.preferred {
 		for _, r := range c.queue {
 			if at := g.startBy(r) - margin; !r.over && g.now > at {
+				g.turned.Held++
 				g.end(r)
 			} else if !r.over {
 				g.by(at + g.set.Tick)
@@ -268,6 +275,7 @@
 			}
 			c.queue = c.queue[1:]
 			if !r.over {
+				g.turned.Held++
 				g.end(r)
 			}
 		}
@@ -323,6 +331,7 @@
 // again sends a request once more, lets it wait for a backend, or ends it.
 func (g *Gateway) again(r *request, price float64) {
 	if !g.retriable(r, price) {
+		g.turned.Tried++
 		g.end(r)
 		return
 	}
@@ -538,7 +547,10 @@
 		return
 	}
 	b := g.backends[g.rng.IntN(len(g.backends))]
-	if (g.now - max(b.heard, b.seen)).Seconds() > probeAims*g.aimShort.Seconds() {
+	each := float64(len(g.backends)) / float64(g.set.Gateways)
+	if (g.now-max(b.heard, b.seen)).Seconds() > probeAims*g.aimShort.Seconds() &&
+		g.probes.grow(g.now, each/(probeRound*g.aimLong.Seconds())) >= 1 {
+		g.probes.amount--
 		g.do(Probe{Backend: b.ID})
 	}
 }
--- a/policy_test.go
+++ b/policy_test.go
@@ -959,3 +959,44 @@
 		t.Errorf("%d sent in 20 s of silence, want about 48 and at most %d", w.sent, most)
 	}
 }
+
+// Eighty gateways that take in 40 messages a second each are never sent more by all others together, and
+// what is inside the quotas goes on. Trouble: the pace held between pairs alone, and pairs are many.
+func TestMessagesOfALargeTier(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	const gateways, length = 80, 20 * time.Second
+	in := make([]int, gateways)
+	bucket := make([]float64, gateways)
+	last := make([]time.Duration, gateways)
+	var w *web
+	w = newWeb(gateways, func(_, to int) bool {
+		in[to]++
+		bucket[to] = min(bucket[to]+(w.now-last[to]).Seconds()*40, 20)
+		last[to] = w.now
+		if bucket[to] < 1 || random.Float64() < 0.078 {
+			return true
+		}
+		bucket[to]--
+		return false
+	})
+	asked := 0
+	for w.now < length {
+		w.late = time.Duration(2+random.IntN(15)) * ms
+		w.step()
+		if random.IntN(1000) < 800 { // 200 a second of 160 customers: 1.25 a second each, where 2 are due
+			asked++
+			w.next++
+			at := random.IntN(gateways)
+			w.do(at, &Request{ID: w.next, Class: "read", Plan: "small", Customer: fmt.Sprint("c", random.IntN(160)), Units: 1,
+				Budget: time.Second, Spread: gateways})
+		}
+	}
+	for i, n := range in {
+		if float64(n) > 40*length.Seconds() {
+			t.Errorf("gateway %d was sent %d messages in %v", i, n, length)
+		}
+	}
+	if w.sent < asked*9/10 {
+		t.Errorf("%d of %d sent on", w.sent, asked)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -71,6 +71,10 @@
 	peers     map[int]*peer
 	gap       time.Duration // between messages to one peer
 	telling   []*peer       // something is to be told there
+	pause     time.Duration // between any two messages, in a tier where no limiter has but a few peers
+	paced     time.Duration // when that allows the next
+	probes    saved         // probes that may go
+	turned    Turned
 
 	aimShort, aimLong time.Duration
 	nextPeriod        time.Duration
@@ -546,6 +550,17 @@
 	g.greet()
 }
 
+// Turned counts the requests that a Gateway ended without an answer of a backend, by cause.
+type Turned struct {
+	Beyond uint64 `json:"beyond"` // beyond the quota, as far as was known
+	Full   uint64 `json:"full"`   // the window was full and the wait too long
+	Held   uint64 `json:"held"`   // held for room until no answer could be in time
+	Tried  uint64 `json:"tried"`  // sent, and not to be sent again
+}
+
+// Turned counts what this gateway turned away.
+func (g *Gateway) Turned() Turned { return g.turned }
+
 // Quota counts what became of rights on customers' stores.
 func (g *Gateway) Quota() quota.Counters {
 	if g.ledger == nil {
@@ -624,7 +639,7 @@
 	}
 	for i := 0; i < len(g.telling); i++ {
 		p := g.telling[i]
-		if g.now < max(p.due, p.paced) {
+		if g.now < max(p.due, p.paced) || !g.mayTell(p) {
 			continue
 		}
 		p.paced = max(p.paced, g.now-tellBurst*g.gap) + g.gap
@@ -638,6 +653,25 @@
 	}
 }
 
+// mayTell tells whether the pace of all messages together allows one to a peer, and takes it. An answer
+// goes in any case, as there are no more of them than asks come in. What only carries news waits until all
+// is there that may be saved up: it would crowd out rights that move.
+func (g *Gateway) mayTell(p *peer) bool {
+	if g.pause == 0 {
+		return true
+	}
+	at, answers := g.paced, g.ledger.Owes(p.number)
+	if !answers && !g.ledger.Wants(p.number) {
+		at += 2 * tellBurst * g.pause
+	}
+	if g.now < at && !answers {
+		g.by(at)
+		return false
+	}
+	g.paced = max(g.paced, g.now-2*tellBurst*g.pause) + g.pause
+	return true
+}
+
 // tell sends a peer what it is to be told, as much as fits, and tells whether there is more.
 func (g *Gateway) tell(p *peer) (more bool) {
 	p.sent++
