Keep a first ask of a peer not heard before, and count each req's demand once

Cause: Account.link forgot what was pending once the peer's epoch came with its answer; askHome told a req's units twice, as Want and as demand beside it, so customers at half of their quota looked hot. A home that lost all now starts at half a burst, which is the bound of what a restart may add.

Tests of homes, stand-ins, fixed parts of ceilings, bounded credit, hot customers and repeated asks.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -323,7 +323,11 @@
 	for i := range a.links {
 		if k := &a.links[i]; k.peer == who {
 			if p := a.ledger.peers[who]; !a.small() && p != nil && p.epoch != k.epoch {
-				*k = link{peer: who, epoch: p.epoch, queued: k.queued}
+				if k.epoch == 0 { // not heard before: what is asked of it stands
+					k.epoch = p.epoch
+				} else {
+					*k = link{peer: who, epoch: p.epoch, queued: k.queued}
+				}
 			}
 			return k
 		}
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -22,7 +22,7 @@
 const (
 	homes       = 3                     // the home, and those that stand in for it
 	homeRepeat  = 50 * time.Millisecond // without an answer: the ask or the answer is lost
-	restLevel   = 0.25                  // of the burst: what a home that lost all takes its stores to hold
+	restLevel   = 0.5                   // of the burst: what a home that lost all takes its stores to hold
 	creditTimes = 2.0                   // of its even part of the rate: credit of a limiter without a word
 	viewFor     = 5 * time.Second       // what a home told of its level means something for as long
 	hotDemand   = 1.2                   // times the rate: a customer that asks for so much is told of unasked
@@ -216,7 +216,7 @@
 		if p.Places > 0 && a.Open >= a.limit() {
 			k.wantTo = 1
 		}
-		k.drawn, k.extra = parts(a.debt), uint8(min(a.unasked, 255))
+		k.drawn, k.extra = parts(a.debt), uint8(min(max(a.unasked-units, 0), 255))
 		a.debt, a.unasked = 0, 0
 		l.queue(a, k, now)
 		if !peer.missed {
--- /dev/null
+++ b/internal/quota/home_test.go
@@ -0,0 +1,221 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"lemongate/internal/peermsg"
+)
+
+// homeTier is a large set of ledgers with an account of one customer at each, and no
+// network: what one tells another comes at once, unless it is cut.
+type homeTier struct {
+	ledgers []*Ledger
+	now     time.Duration
+	cut     map[int]bool
+	asks    int
+}
+
+func newHomeTier(n int, plan Plan, s Standing) *homeTier {
+	t := &homeTier{now: time.Hour, cut: map[int]bool{}}
+	for i := range n {
+		l := New(Config{Self: i, Limiters: n, Talks: true, Plans: []Plan{plan}, Epoch: uint32(i + 1)}, t.now)
+		l.Resolve(s, t.now)
+		t.ledgers = append(t.ledgers, l)
+	}
+	return t
+}
+
+func (t *homeTier) account(i int) *Account {
+	return t.ledgers[i].Account(7, 0, 0, len(t.ledgers), t.now)
+}
+
+// home is the limiter that has place k among the homes.
+func (t *homeTier) home(k int) int { return t.account(0).homes[k] }
+
+// talk carries what all have to tell until nothing is left.
+func (t *homeTier) talk() {
+	for again := true; again; {
+		again = false
+		for i, l := range t.ledgers {
+			for _, to := range l.Ready() {
+				asks, answers, _ := l.Compose(to, t.now)
+				t.asks += len(asks)
+				if t.cut[i] || t.cut[to] {
+					continue
+				}
+				again = true
+				other := t.ledgers[to]
+				other.Heard(i, l.Epoch, true, 9, 9, t.now)
+				for _, m := range asks {
+					other.Asked(i, m, t.now)
+				}
+				for _, m := range answers {
+					other.Answered(i, m, t.now)
+				}
+			}
+		}
+	}
+}
+
+// req tells whether a limiter grants a req of one unit, waiting for a word as long as may be.
+func (t *homeTier) req(i int) bool {
+	l, a := t.ledgers[i], t.account(i)
+	l.Demand(a, 1, t.now)
+	word, _ := l.Reserve(a, 1, false, t.now)
+	for range 3 {
+		if word != Wait {
+			break
+		}
+		t.talk()
+		if word, _ = l.Reserve(a, 1, false, t.now); word == Wait {
+			t.now += homeRepeat + time.Millisecond
+		}
+	}
+	if word == Wait {
+		word, _ = l.Reserve(a, 1, true, t.now)
+	}
+	if word == Granted {
+		a.Sent(1)
+	}
+	return word == Granted
+}
+
+// A customer that every limiter meets once gets what its store holds, wherever its
+// reqs come in, and no more. Trouble: a limiter's first ask of a home that it had
+// not heard yet was void once the answer came, and its units were lost.
+func TestHomeGrantsItsStore(t *testing.T) {
+	for _, n := range []int{5, 20, 80} {
+		tr := newHomeTier(n, plain, Fresh)
+		sum := 0
+		for i := range 60 {
+			if tr.req(i % n) {
+				sum++
+			}
+		}
+		due := 24 + 5*(tr.now-time.Hour).Seconds()
+		if got := float64(sum); got < min(due, 60)-1 || got > due {
+			t.Errorf("%d limiters: %d of 60 granted, where %.1f are due", n, sum, due)
+		}
+	}
+}
+
+// While the home is silent the next in turn decides, after one unanswered ask of
+// each asker; and it goes by what askers were told last.
+func TestStandIn(t *testing.T) {
+	tr := newHomeTier(80, plain, Fresh)
+	home := tr.home(0)
+	for i := range 8 { // 16 units are left
+		if i != home {
+			tr.req(i)
+		}
+	}
+	tr.cut[home] = true
+	for i := range 80 {
+		a, l := tr.account(i), tr.ledgers[i]
+		l.Demand(a, 1, tr.now)
+		l.Reserve(a, 1, false, tr.now)
+		tr.talk()
+	}
+	tr.now += askGivenUp
+	sum := 0
+	for i := range 80 {
+		if i != home && tr.req(i) {
+			sum++
+		}
+	}
+	if most := 24 + 5*(tr.now-time.Hour).Seconds() + 8; sum < 16 || float64(sum) > most {
+		t.Errorf("%d of 79 granted while the home was silent, want the 16 left and at most %.0f", sum, most)
+	}
+}
+
+// A ceiling's parts never add up to more than the whole, whoever is silent.
+func TestRoofs(t *testing.T) {
+	plan := plain
+	plan.Ceiling = Store{Rate: 10, Burst: 48}
+	tr := newHomeTier(80, plan, Fresh)
+	sum := 0.0
+	for i := range 80 {
+		sum += tr.account(i).roof
+	}
+	if sum > 1.0001 {
+		t.Errorf("parts add up to %.2f", sum)
+	}
+	from := tr.now
+	tr.now += 3 * time.Second
+	units := 0
+	for _, silent := range []int{-1, 0, 1} { // the home dies, then its stand-in as well
+		if silent >= 0 {
+			tr.cut[tr.home(silent)] = true
+		}
+		for i := range 400 {
+			if i%80 != tr.home(0) && i%80 != tr.home(1) && tr.req(i%80) {
+				units++
+			}
+		}
+	}
+	if most := plan.Ceiling.Burst + plan.Ceiling.Rate*(tr.now-from).Seconds(); float64(units) > most {
+		t.Errorf("%d units granted, the ceiling allows %.0f", units, most)
+	}
+}
+
+// A limiter that gets no word goes by a credit that is small for the whole set, and
+// tells the home of it when it answers again. With a ceiling there is none.
+func TestCreditIsBounded(t *testing.T) {
+	tr := newHomeTier(80, plain, Fresh)
+	for _, k := range []int{0, 1, 2} {
+		tr.cut[tr.home(k)] = true
+	}
+	from, sum := tr.now, 0
+	for i := range 800 {
+		if !tr.cut[i%80] && tr.req(i%80) {
+			sum++
+		}
+	}
+	most := creditTimes*plain.Quota.Rate*(tr.now-from).Seconds() + 80
+	if got := float64(sum); got > most || got < 70 {
+		t.Errorf("%d granted without a word, want at most %.0f and one of most limiters", sum, most)
+	}
+	home := tr.home(0)
+	before := tr.ledgers[home].Level(tr.account(home), tr.now)
+	tr.cut = map[int]bool{}
+	tr.now += 2 * time.Second
+	asker := (home + 40) % 80
+	debt := tr.account(asker).debt
+	tr.ledgers[asker].Heard(home, tr.ledgers[home].Epoch, true, 9, 9, tr.now)
+	tr.req(asker)
+	if after := tr.ledgers[home].Level(tr.account(home), tr.now); debt > 0 && after > before-debt+1 {
+		t.Errorf("level %.1f before, %.1f after a debt of %.1f was told", before, after, debt)
+	}
+}
+
+// A hot customer's limiters do not ask for each of its reqs once its home told of it.
+func TestHotIsThinned(t *testing.T) {
+	tr := newHomeTier(80, plain, Fresh)
+	for i := range 300 {
+		tr.req(i % 80)
+	}
+	asks := tr.asks
+	for i := range 300 {
+		tr.req(i % 80)
+	}
+	if n := tr.asks - asks; n > 200 {
+		t.Errorf("%d asks for 300 reqs of a customer far beyond its quota", n)
+	}
+}
+
+// A datagram that comes twice moves nothing twice.
+func TestAskTwice(t *testing.T) {
+	tr := newHomeTier(80, plain, Fresh)
+	home := tr.home(0)
+	l, a := tr.ledgers[home], tr.account(home)
+	who := (home + 1) % 80
+	l.Heard(who, 5, true, 9, 9, tr.now)
+	m := peermsg.Ask{Customer: 7, Size: 80, Nonce: 9, Want: 2 * peermsg.Part, Drawn: peermsg.Part, Whole: peermsg.Unknown}
+	for range 3 {
+		l.Asked(who, m, tr.now)
+	}
+	if level := l.Level(a, tr.now); level != 24-3 {
+		t.Errorf("level %.1f after one ask for 2 units and a debt of 1, told three times", level)
+	}
+}
