Spread and put off watches by the tier's size, and take a refused connect for a gone backend

Ruled out: the agent itself (at 0 s it answered 80 calls at once), a lost index (the answer is 503 at once).

At fault: Run in discovery.go (fixed backoff, no chance, no size of the tier); learn in policy.go counted a refused connect as any failure and at full price; cost let one answer of a backend outweigh what peers tell; trials of an ejected backend came as often from each limiter. Now: first calls spread over 50 ms a limiter, failed ones doubling until all together make 10 a second; a list to begin with makes ready within 0.3 s; one refused connect ejects, is told, and a peer's good word ends it; trials are thinned by the tier and spread by chance.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,6 +31,16 @@
 	// machine nothing.
 	backoffFrom = 10 * time.Millisecond
 	backoffMost = 500 * time.Millisecond
+	// One service answers the calls of all limiters in turn, and turns them away when
+	// they have waited too long. Limiters that all ask again at once, and again soon,
+	// keep its line full for good, and none is ever answered. So the first call of each
+	// is spread over spreadEach for each limiter of the tier, and failed ones are put
+	// off, doubling, until all together make one call in mostEach.
+	spreadEach = 50 * time.Millisecond
+	mostEach   = 100 * time.Millisecond
+	// A configuration that names another discovery reaches all limiters at once, and
+	// leaves less time.
+	spreadMoved = time.Second
 	dialWithin  = time.Second // for a connection to discovery, which is on this machine
 	maxLine     = 4 << 20     // of a list; far more than any fleet fills
 )
@@ -95,6 +106,8 @@
 	Index  int64               // the generation held; grows as the watch tells of newer ones
 	Post   func(reducer.Event) // takes what was read
 	Log    *zap.Logger
+	Tier   int                   // limiters that watch the same discovery
+	Random func() float64        // overrides the source of chance, in [0, 1)
 	Silent time.Duration         // overrides how long a silent stream is trusted
 	Pause  func(d time.Duration) // overrides how a pause is spent
 
@@ -135,11 +148,25 @@
 		DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext,
 	}
 	defer transport.CloseIdleConnections()
+	if w.Random == nil {
+		w.Random = rand.Float64
+	}
+	spread := time.Duration(max(w.Tier-1, 0)) * spreadEach
+	most := max(backoffMost, time.Duration(w.Tier)*mostEach)
 	backoff := backoffFrom
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		stay, moved := w.settle(ctx)
-		if moved {
+		if moved || first {
 			backoff = backoffFrom
+			if wait := spread; wait > 0 {
+				if moved { // what is new there counts as told soon
+					wait = min(wait, spreadMoved)
+				}
+				w.pause(stay, time.Duration(w.Random()*float64(wait)))
+			}
+			if stay.Err() != nil {
+				continue
+			}
 		}
 		read, err := w.watch(stay, transport)
 		if ctx.Err() != nil {
@@ -148,12 +175,18 @@
 		if stay.Err() != nil { // moved on
 			continue
 		}
-		if read > 0 {
+		w.Log.Warn("watch of the backend list ended", zap.Int("messages", read), zap.Error(err))
+		switch {
+		case errors.Is(err, errUnread):
 			backoff = backoffFrom
+			w.pause(stay, backoff)
+		case read > 0: // it broke for others as well
+			backoff = max(backoffFrom, spread)
+			w.pause(stay, backoffFrom+time.Duration(w.Random()*float64(spread)))
+		default:
+			w.pause(stay, time.Duration((0.5+w.Random())*float64(backoff)))
+			backoff = min(2*backoff, most)
 		}
-		w.Log.Warn("watch of the backend list ended", zap.Int("messages", read), zap.Error(err))
-		w.pause(stay, backoff)
-		backoff = min(2*backoff, backoffMost)
 	}
 }
 
@@ -168,6 +201,9 @@
 	}
 }
 
+// errUnread ends a watch that brought a line that could not be read.
+var errUnread = errors.New("watch")
+
 // watch reads one stream to its end and tells how many messages it brought.
 func (w *Watcher) watch(ctx context.Context, transport *http.Transport) (read int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -204,7 +240,7 @@
 		list, generation, err := Decode(lines.Bytes(), w.Origin)
 		if err != nil {
 			w.Index = 0 // what this line changed is unknown, so the whole list is wanted
-			return read, err
+			return read, fmt.Errorf("%w: %w", errUnread, err)
 		}
 		if read++; read == 1 {
 			w.Log.Info("backend list", zap.String("from", w.Addr), zap.Int64("asked", w.Index),
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -204,7 +205,9 @@
 func TestBackoff(t *testing.T) {
 	a := newAgent(t)
 	pauses := make(chan time.Duration, 1)
-	a.watcher(t, func(w *Watcher) { w.Pause = func(d time.Duration) { pauses <- d } })
+	a.watcher(t, func(w *Watcher) {
+		w.Pause, w.Random = func(d time.Duration) { pauses <- d }, func() float64 { return 0.5 }
+	})
 	for _, want := range []int{10, 20, 40, 80, 160, 320, 500, 500} {
 		close((<-a.watches).lines)
 		if got := <-pauses; got != time.Duration(want)*time.Millisecond {
@@ -218,3 +221,36 @@
 		t.Errorf("pause %v after a good watch", got)
 	}
 }
+
+// Eighty limiters that start at once do not ask in step, nor, while they are turned
+// away, so often that discovery's line never empties; three ask nearly at once.
+func TestTierDoesNotFloodDiscovery(t *testing.T) {
+	for _, c := range []struct {
+		tier         int
+		first, least time.Duration // most of the first pauses, and the least mean of late ones
+	}{{3, 100 * time.Millisecond, 0}, {20, time.Second, 1500 * time.Millisecond}, {80, 4 * time.Second, 6 * time.Second}} {
+		ctx, cancel := context.WithCancel(context.Background())
+		chance := rand.New(rand.NewPCG(1, uint64(c.tier)))
+		var pauses []time.Duration
+		w := &Watcher{
+			Addr: "127.0.0.1:0", Tier: c.tier, Random: chance.Float64, Log: zap.NewNop(), // nothing listens there
+			Post: func(reducer.Event) {},
+			Pause: func(d time.Duration) {
+				if pauses = append(pauses, d); len(pauses) == 31 {
+					cancel()
+				}
+			},
+		}
+		w.Run(ctx)
+		if pauses[0] > c.first {
+			t.Errorf("%d limiters: first call after %v, want %v at most", c.tier, pauses[0], c.first)
+		}
+		var sum time.Duration
+		for _, d := range pauses[11:] {
+			sum += d / 20
+		}
+		if sum < c.least {
+			t.Errorf("%d limiters: a call each %v, want %v at least", c.tier, sum, c.least)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,6 +135,7 @@
 	n.cancel = cancel
 	n.watcher = &discovery.Watcher{
 		Addr: c.Discovery, Origin: n.clock.Zero(), Index: c.Generation, Post: n.post, Log: n.log,
+		Tier: c.Settings.Gateways,
 	}
 	n.edges.Go(func() { n.watcher.Run(ctx) })
 	broken := make(chan error, 1)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -28,6 +28,7 @@
 // Bounds of the program's life. They are the platform's, not a site's.
 const (
 	settleWithin = 2 * time.Second        // ready by then, whatever discovery does
+	settleKnown  = 300 * time.Millisecond // likewise with a list to begin with, which may be old
 	acceptAfter  = 500 * time.Millisecond // new connections go on coming for 0.4 s after SIGTERM
 	killAfter    = 700 * time.Millisecond // SIGKILL comes this long after the longest deadline ...
 	killLeast    = 3 * time.Second        // ... counted as this long at least
@@ -96,7 +97,11 @@
 		reqs: map[ReqID]*req{}, calls: map[string]ReqID{}, fetches: map[FetchID]*fetch{}, backends: map[string]*Entry{},
 		wakes: map[string]time.Duration{}, source: c.Discovery,
 	}
-	r.timers.add(timer{at: now + settleWithin, kind: settleTimer})
+	settle := settleWithin
+	if len(c.Known) > 0 {
+		settle = settleKnown
+	}
+	r.timers.add(timer{at: now + settle, kind: settleTimer})
 	r.listed(&Listed{Kind: lemongate.ListCached, Entries: c.Known})
 	return r, r.finish()
 }
--- a/policy.go
+++ b/policy.go
@@ -81,6 +81,9 @@
 	memoryAims   = 5.0  // aims after which what was seen of an unused backend has faded to a third
 	trialAims    = 0.5  // aims until an ejected backend gets its first trial; doubles each time
 	trialDoubles = 4    // doublings at most
+	trialSenders = 8.0  // gateways that try an ejected backend at that pace
+	ownAnswers   = 3.0  // own answers of a backend that weigh as much as what peers tell of it
+	gonePeer     = 0.95 // failure share told by a peer that ejects: it got no connection
 )
 
 // New returns a Gateway that knows just its settings.
@@ -320,7 +323,7 @@
 		g.over(r)
 	case ev.Final || r.over:
 		g.over(r)
-	case ev.Result == TurnedAway:
+	case ev.Result == TurnedAway || ev.Result == Unreachable:
 		g.again(r, retryTurned)
 	default:
 		g.again(r, 1)
@@ -520,6 +523,12 @@
 	b.load = min(max(math.Exp2((float64(s.Load)-128)/16), 1/sightMost), sightMost)
 	b.fails = float64(s.Fails) / math.MaxUint8
 	g.spread(b, at)
+	switch {
+	case b.fails > gonePeer && b.seen < at && b.until == 0:
+		g.eject(b)
+	case b.fails < failBack && b.until > 0:
+		b.until, b.doubts = 0, 0
+	}
 }
 
 // report reads a backend's load; only how it compares with its fellows counts, whatever the unit.
@@ -719,6 +728,7 @@
 // cost is the latency to expect of a backend, in class means.
 func (g *Gateway) cost(b *backend) float64 {
 	fade := g.fade(b)
+	fade *= b.answers * fade / (b.answers*fade + ownAnswers) // one answer tells little: work differs
 	told := math.Exp(-(g.now - b.heard).Seconds() / (sightAims * g.memory))
 	unseen := unseenSlope * g.typical * (1 + told*(b.load-1)) // others saw what this gateway did not
 	cost := (unseen*(1-fade) + b.slope*fade) * float64(len(b.open)+1) / g.warmth(b)
@@ -743,7 +753,8 @@
 		c.moments(x, spikeMost, momentWeight)
 		part := (1 + others) * x / max(c.mean, 1e-6) / (float64(r.depth) + others)
 		// What is known of a backend long unseen gives way to the new answer.
-		b.slope += max(slopeWeight, 1-g.fade(b)) * (min(part, spikeMost*spikeMost*b.slope) - b.slope)
+		b.answers = b.answers*g.fade(b) + 1
+		b.slope += max(slopeWeight, 1/b.answers) * (min(part, spikeMost*spikeMost*b.slope) - b.slope)
 		b.seen = g.now
 		b.fails -= failWeight * b.fails
 		if len(g.set.ReportFields) == 0 || ev.Report == nil && g.now-b.heard > g.aimLong {
@@ -756,6 +767,11 @@
 	case TurnedAway:
 		// Trouble: it turns away one plan or class and has room for the rest; only that kind stays away.
 		b.avoid(g.kind(r), g.now+seconds(c.mean)+turnedTimes*ev.Latency)
+	case Unreachable:
+		// Nothing listens there, or its machine is lost: one sign tells more than a share of failures.
+		b.fails = 1
+		g.spread(b, g.now)
+		g.eject(b)
 	default:
 		called := ev.Result == Canceled && r.over || ev.Result == TimedOut && !b.silent(r)
 		if !called && ev.Result != NotSent { // not by the client, and it did not just take long
@@ -771,9 +787,20 @@
 	sound, _ := g.trusted()
 	spare := float64(sound-1) >= soundLeast*float64(len(g.backends))
 	if b.until > 0 && b.until <= g.now || b.until == 0 && b.fails > failEject && spare {
-		b.until = g.now + seconds(trialAims*g.aimLong.Seconds()*float64(int(1)<<min(b.doubts, trialDoubles)))
-		b.doubts++
+		g.eject(b)
+	}
+}
+
+// eject leaves a backend to trials, the first after a while that chance spreads: all gateways together try
+// it as often as a few would alone, as who finds it well tells the others.
+func (g *Gateway) eject(b *backend) {
+	if b.until > g.now {
+		return
 	}
+	wait := trialAims * g.aimLong.Seconds() * float64(int(1)<<min(b.doubts, trialDoubles))
+	wait *= max(float64(g.set.Gateways)/trialSenders, 1) * (1 + g.rng.Float64()) / 1.5
+	b.until = g.now + seconds(wait)
+	b.doubts++
 }
 
 // unstick calls off attempts at backends gone silent while another elsewhere is of use.
--- a/policy_test.go
+++ b/policy_test.go
@@ -1000,3 +1000,53 @@
 		t.Errorf("%d of %d sent on", w.sent, asked)
 	}
 }
+
+// A refused connect tells that nothing listens: the backend is left alone after one, the req goes on to
+// another, peers are told, and who hears it leaves the backend alone too until somebody finds it well.
+// Trouble: after a release each of 80 gateways tried each of 36 that were gone two or three times.
+func TestGoneIsTold(t *testing.T) {
+	set := settings()
+	set.Gateways = 80
+	b := newBench(t, set, fleet("a", "b", "c", "d")...)
+	var at string
+	for at == "" {
+		b.ask("read", "free", "x")
+		for _, s := range only[Send](b.take()) {
+			if b.end(s.Request, 0, s.Backend, Unreachable, ms); !b.g.known[s.Backend].ejected() {
+				t.Fatal("not ejected after a refused connect")
+			}
+			at = s.Backend
+			if again := only[Send](b.take()); len(again) != 1 || again[0].Backend == at {
+				t.Fatalf("sent again: %v", again)
+			}
+		}
+	}
+	wait := b.g.known[at].until - b.now
+	if least := 2 * b.g.aimLong; wait < least {
+		t.Errorf("tried again after %v; by 80 gateways that is more often than %v/80", wait, least)
+	}
+	other := newBench(t, set, fleet("a", "b", "c", "d")...)
+	other.now = b.now + time.Second
+	key := other.g.known[at].key
+	other.do(&PeerMessage{From: 1, Data: peermsg.Message{Epoch: 5, Seq: 1, Sights: []peermsg.Sight{{Backend: key, Load: 128, Fails: 255}}}.Append(nil)})
+	if !other.g.known[at].ejected() {
+		t.Error("not ejected when told that nothing listens there")
+	}
+	other.now += time.Second
+	other.do(&PeerMessage{From: 2, Data: peermsg.Message{Epoch: 5, Seq: 1, Sights: []peermsg.Sight{{Backend: key, Load: 128}}}.Append(nil)})
+	if other.g.known[at].ejected() {
+		t.Error("still ejected when told that it is well")
+	}
+}
+
+// A single answer of a backend says little of it beside what peers tell, many say all.
+func TestFewAnswersWeighLittle(t *testing.T) {
+	b := newBench(t, settings(), fleet("a", "b")...)
+	x := b.g.known["a"]
+	x.seen, x.heard, x.load, x.slope, x.answers = b.now, b.now, 1, 4, 1
+	few := b.g.cost(x)
+	x.answers = 50
+	if many := b.g.cost(x); few > 2 || many < 3.5 {
+		t.Errorf("cost %.1f by one slow answer and %.1f by fifty, where peers tell 1 and the answers 4", few, many)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -136,15 +136,16 @@
 
 type backend struct {
 	Backend
-	open   []*request // attempts out, oldest first
-	slope  float64    // latency per attempt out, in class means
-	seen   time.Duration
-	fails  float64 // share of failures
-	until  time.Duration
-	doubts int                   // ejections in a row
-	turned map[int]time.Duration // kinds of request turned away; left alone until then
-	gone   bool
-	left   time.Duration // when it went, 0 while it is listed
+	open    []*request // attempts out, oldest first
+	slope   float64    // latency per attempt out, in class means
+	answers float64    // that tell it, faded
+	seen    time.Duration
+	fails   float64 // share of failures
+	until   time.Duration
+	doubts  int                   // ejections in a row
+	turned  map[int]time.Duration // kinds of request turned away; left alone until then
+	gone    bool
+	left    time.Duration // when it went, 0 while it is listed
 
 	key   uint16        // what peers call it
 	load  float64       // against its fellows, as anyone saw it last
