Choose in proportion to one over the cost in a large tier, and send idle cold backends more

Ruled out: ejections (29 of 4,800 pairs), differing words (the fleet agrees).

At fault in policy.go: cost divided by the least warmth what the told load had in it already, after coldRoom had thinned by it too; sightMost made all busy backends look alike; choose took the least of the costs. Now the told share of a cost is not divided by warmth; a cold backend told to be idle gets up to 2.5 x 0.9 of its least share (four times its capacity fells it); a limiter of a large tier draws with chance 1/cost, one of three as before.

--- a/policy.go
+++ b/policy.go
@@ -71,7 +71,8 @@
 	lookFleet    = 4.0  // the same for all gateways together, in fleets: two see nearly all there is
 	sightAims    = 1.5  // longest aims after which what was told of a backend has faded to a third
 	sightWeight  = 0.3  // weight of one answer in what is told of a backend
-	sightMost    = 4.0  // most that a backend is told to differ from its fellows
+	sightMost    = 16.0 // most that a backend is told to differ from its fellows: by less, all busy ones look alike
+	coldTold     = 2.5  // times its fair share that a cold backend gets at most, where it is told to be idle
 	sightSteps   = 32   // steps of age in the shortest aim
 	busyMargin   = 0.15 // a backend that is wholly busy waits this much less than forever
 	probeAims    = 1.0  // shortest aims after which a backend of which nothing is heard may be probed
@@ -695,7 +696,7 @@
 				continue
 			}
 		}
-		cost := g.cost(b)
+		cost := g.cost(b) * g.doubt()
 		switch {
 		case b.ejected() && g.now >= b.until && len(b.open) == 0 && r.class.Effect == Safe && r.attempts == 0:
 			cost = 0 // one safe request at a time: at low load it would never come back
@@ -717,6 +718,14 @@
 	return best
 }
 
+// doubt is what a cost is multiplied by in a large tier: with all of it, a backend is taken in proportion
+// to one over its cost. Trouble: 80 gateways know the same of a backend, a second late; the least told had
+// 23 attempts out and the others none, and a second later it was the other way round.
+func (g *Gateway) doubt() float64 {
+	part := min(max(float64(g.set.Gateways)/tellSenders-1, 0), 1)
+	return math.Pow(g.rng.ExpFloat64(), part)
+}
+
 // allowed keeps the keyed repeats within the group that drops them.
 func (g *Gateway) allowed(r *request, b *backend) bool {
 	if r.maybe == nil || r.class.Effect == Safe || r.class.Group == GroupAll {
@@ -729,9 +738,10 @@
 func (g *Gateway) cost(b *backend) float64 {
 	fade := g.fade(b)
 	fade *= b.answers * fade / (b.answers*fade + ownAnswers) // one answer tells little: work differs
-	told := math.Exp(-(g.now - b.heard).Seconds() / (sightAims * g.memory))
+	told := g.told(b)
 	unseen := unseenSlope * g.typical * (1 + told*(b.load-1)) // others saw what this gateway did not
-	cost := (unseen*(1-fade) + b.slope*fade) * float64(len(b.open)+1) / g.warmth(b)
+	cost := (unseen*(1-fade) + b.slope*fade) * float64(len(b.open)+1)
+	cost /= told + (1-told)*g.warmth(b) // what is told of it has its coldness in it
 	if len(b.open) > 0 {
 		old := b.open[0] // its age bounds the latency from below: it may take work and never answer
 		age := (g.now - old.sent).Seconds() / (stuckTimes / 2 * max(old.class.mean, 1e-3))
@@ -832,10 +842,18 @@
 }
 
 // coldRoom tells whether a cold backend may be looked at: as often as its warmth's part of a warm one's
-// share, so that all gateways together, each by chance, send it no more than the warm ones bear.
+// share, so that all gateways together, each by chance, send it no more than the warm ones bear. Its warmth
+// is the least that it may have; where it is told to be idle it gets more, bounded well below what fells it.
+// Trouble: with six in ten backends cold they stood idle, and the warm ones had 33 attempts each.
 func (g *Gateway) coldRoom(b *backend, look int) bool {
 	n := float64(len(g.backends))
-	return g.rng.Float64() < coldMargin*g.warmth(b)*n/max(g.warm(), coldFleet*n)/float64(look)
+	more := 1 + g.told(b)*(min(max(1/b.load, 1), coldTold)-1)
+	return g.rng.Float64() < more*coldMargin*g.warmth(b)*n/max(g.warm(), coldFleet*n)/float64(look)
+}
+
+// told is how much of what was told of a backend still counts.
+func (g *Gateway) told(b *backend) float64 {
+	return math.Exp(-(g.now - b.heard).Seconds() / (sightAims * g.memory))
 }
 
 // list brings the backends up to date; what drains or is gone gets nothing more.
--- a/policy_test.go
+++ b/policy_test.go
@@ -1050,3 +1050,57 @@
 		t.Errorf("cost %.1f by one slow answer and %.1f by fifty, where peers tell 1 and the answers 4", few, many)
 	}
 }
+
+// A cold backend that is told to be idle gets more than the least share, and stays far below what fells it;
+// one that is told to be busy gets no more.
+func TestColdToldIdle(t *testing.T) {
+	set := settings()
+	set.Gateways = 80
+	list := fleet("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+	rate := func(load float64) float64 {
+		b := newBench(t, set, list...)
+		b.now += time.Hour
+		cold := slices.Clone(list)
+		cold[0].Started = b.now
+		b.do(&List{Kind: ListFull, Backends: cold})
+		x, n := b.g.known["a"], 0
+		for range 20000 {
+			x.heard, x.load = b.now, load
+			if b.g.coldRoom(x, 1) {
+				n++
+			}
+		}
+		return float64(n) / 20000 / 10 / b.g.warmth(x) * b.g.warm() // of its fair share
+	}
+	idle, busy := rate(0.25), rate(2)
+	if idle < 1.8 || idle > 2.5 || busy > 1 {
+		t.Errorf("%.2f of its fair share where it is idle, %.2f where it is busy", idle, busy)
+	}
+}
+
+// In a large tier no backend is rushed to because it is told to be the idlest, and the busy ones get less
+// all the same; few gateways, who each see what they do, take the best of some.
+func TestNoRush(t *testing.T) {
+	for _, c := range []struct {
+		gateways    int
+		least, most float64 // sends to the idlest of ten, where one in ten is even
+	}{{3, 0.9, 1}, {80, 0.12, 0.24}} {
+		set := settings()
+		set.Gateways = c.gateways
+		b := newBench(t, set, fleet("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")...)
+		r := &request{Request: &Request{}, class: b.g.classes[0], customer: b.g.lookup(&Request{Customer: "x", Plan: "free"})}
+		idlest := 0
+		for range 5000 {
+			for _, x := range b.g.backends {
+				x.heard, x.load, x.answers = b.now, 2, 0
+			}
+			b.g.backends[3].load = 1
+			if b.g.choose(r) == b.g.backends[3] {
+				idlest++
+			}
+		}
+		if part := float64(idlest) / 5000; part < c.least || part > c.most {
+			t.Errorf("%d gateways: %.2f to the idlest, want %.2f to %.2f", c.gateways, part, c.least, c.most)
+		}
+	}
+}
