Give units that were granted and not sent back to the home, and refuse at a full window first

Now such units are told to the home at once (a debt below nothing), and admit refuses before it asks where the window is full and the wait too long.

--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -53,7 +53,7 @@
 	Nonce    uint16 // names the ask; a repeat has the same
 	Want     uint16 // parts of the quota's store
 	Over     uint16 // parts of the ceiling's store
-	Drawn    uint16 // parts sent on there in this epoch, modulo 2^16
+	Drawn    uint16 // parts sent on there in this epoch, modulo 2^16; of a large set see quota
 	Demand   uint8  // units a second asked for there, in DemandSteps of the rate
 	Level    int8   // of the store there, in LevelSteps of the burst
 	Share    uint8  // of the rate there, in ShareSteps
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"lemongate/internal/peermsg"
@@ -216,8 +217,9 @@
 		if p.Places > 0 && a.Open >= a.limit() {
 			k.wantTo = 1
 		}
-		k.drawn, k.extra = parts(a.debt), uint8(min(max(a.unasked-units, 0), 255))
-		a.debt, a.unasked = 0, 0
+		k.extra = uint8(min(max(a.unasked-units, 0), 255))
+		a.unasked = 0
+		k.owe(a)
 		l.queue(a, k, now)
 		if !peer.missed {
 			return true
@@ -226,6 +228,27 @@
 	return false
 }
 
+// owe puts into an ask what was sent on without a word, less what was granted and not
+// sent.
+func (k *link) owe(a *Account) {
+	k.drawn = uint16(int16(min(max(a.debt*peermsg.Part, math.MinInt16), math.MaxInt16)))
+	a.debt = 0
+}
+
+// returns has the home told soon of units that are not sent after all: nobody else
+// could use them.
+func (l *Ledger) returns(a *Account, now time.Duration) {
+	for _, who := range a.homes {
+		if p := l.peer(who); who == l.Self || now >= p.silentUntil && !p.dead && !p.missed {
+			if k := a.link(who); who != l.Self {
+				k.needed = true
+				l.queue(a, k, now)
+			}
+			return
+		}
+	}
+}
+
 // askLarge words an ask to a home.
 func (a *Account) askLarge(k *link, now time.Duration) peermsg.Ask {
 	whole := uint8(peermsg.Unknown)
@@ -260,9 +283,8 @@
 	}
 	want, over := float64(m.Want)/peermsg.Part, float64(m.Over)/peermsg.Part
 	a.demand.add(now, max(want, over)+float64(m.Share))
-	if debt := float64(m.Drawn) / peermsg.Part; debt > 0 {
-		a.quota = max(a.quota-debt, -p.Quota.Burst)
-	}
+	// Below nothing it is what comes back; the store holds no more than its burst.
+	a.quota = min(max(a.quota-float64(int16(m.Drawn))/peermsg.Part, -p.Quota.Burst), max(p.Quota.Burst, a.quota))
 	answer := peermsg.Answer{Customer: a.Hash, Nonce: m.Nonce}
 	held := 0
 	for i := range k.out {
--- a/internal/quota/home_test.go
+++ b/internal/quota/home_test.go
@@ -219,3 +219,24 @@
 		t.Errorf("level %.1f after one ask for 2 units and a debt of 1, told three times", level)
 	}
 }
+
+// Units that were granted and not sent after all are the home's again, once.
+// Trouble: in overload each req that was held in vain took its units along, and the
+// store stood at half while its home said that it was empty.
+func TestUnsentComesBack(t *testing.T) {
+	tr := newHomeTier(80, plain, Fresh)
+	home := tr.home(0)
+	who := (home + 7) % 80
+	before := tr.ledgers[home].Level(tr.account(home), tr.now)
+	for range 4 {
+		if !tr.req(who) {
+			t.Fatal("refused with a full store")
+		}
+		tr.ledgers[who].GiveBack(tr.account(who), 1, tr.now)
+		tr.talk()
+		tr.talk()
+	}
+	if after := tr.ledgers[home].Level(tr.account(home), tr.now); after < before-0.1 || after > 24 {
+		t.Errorf("level %.1f before and %.1f after four reqs that were not sent", before, after)
+	}
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -361,9 +361,10 @@
 	a.Sent(units)
 	if p := a.plan(); p.Quota.Rate > 0 {
 		a.quota += units
-		if !a.small() && a.mine < 0 && a.debt >= units { // the home was not told yet
+		if !a.small() && a.mine != 0 { // where they came from, or where they would be told as a debt
 			a.debt -= units
 			a.quota -= units
+			l.returns(a, now)
 		}
 		a.whole += units
 		a.drawn -= uint16(math.Ceil(units * peermsg.Part))
@@ -518,6 +519,9 @@
 		if k.needed && !k.pending {
 			l.nonce++
 			k.nonce, k.want, k.over, k.wantTo = l.nonce, 0, 0, 0
+			if !a.small() {
+				k.owe(a)
+			}
 		}
 		k.needed = false
 		k.told = now
--- a/policy.go
+++ b/policy.go
@@ -145,6 +145,11 @@
 		g.do(Refuse{Request: ev.ID})
 		return
 	}
+	if g.full() && g.wait(c) > (g.startBy(r)-g.now).Seconds() { // before it takes units that it cannot use
+		g.turned.Full++
+		g.do(Refuse{Request: ev.ID, After: g.set.MaxRetryAfter})
+		return
+	}
 	g.requests[ev.ID] = r
 	g.look()
 	if g.first == 0 {
