--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -119,8 +119,9 @@
 	level, demand, known := a.predicted(now)
 	if known && !a.asked && level < units && demand > thinTo*p.Quota.Rate {
 		// Of a hot customer as much is asked for as its home may grant: it need not
-		// say no to each req.
-		if a.thin += thinTo * p.Quota.Rate / demand; a.thin < 1 {
+		// say no to each req. More the older the word is, as a rush may be over.
+		old := (now - a.view.at).Seconds() / viewFor.Seconds()
+		if a.thin += thinTo*p.Quota.Rate/demand + old*old; a.thin < 1 {
 			return Refused, wait
 		}
 		a.thin--
