Wake for waiting news when its pace allows, not at every tick

Seen: the test of 200 gateways took 54 s where it had taken a few, and under the race detector it ran out of its time. At fault: beat asked for a wake-up at the pace of all messages for news that waits for twice that, so each waiting limiter woke at every tick.

--- a/policy.go
+++ b/policy.go
@@ -125,7 +125,9 @@
 	g.unstick()
 	g.dispatch()
 	for _, p := range g.telling {
-		g.by(max(p.due, p.paced, g.paced))
+		if at := max(p.due, p.paced); at > g.now { // what is due already waits for the pace of all, see mayTell
+			g.by(at)
+		}
 	}
 }
 
