--- a/policy.go
+++ b/policy.go
@@ -48,7 +48,7 @@
 	retryBurst   = 16.0 // further attempts saved up by all gateways, for a backend that dies with its work
 	retryTurned  = 0.25 // what one costs that was turned away: it was no work
 	tellUse      = 0.7  // part of a peer's intake that its busiest senders together fill at their pace
-	tellSenders  = 6    // how many these are at most: in a large tier what all get together is bounded instead
+	tellSenders  = 6    // how many these are at most: in a large tier the sum is bounded
 	tellBurst    = 4    // messages to one peer that may go without a pause
 	tellSights   = 3    // times that a sight is passed on
 	askMost      = 0.3  // of the shortest aim: longest wait for the others' word
@@ -71,7 +71,7 @@
 	lookFleet    = 4.0  // the same for all gateways together, in fleets: two see nearly all there is
 	sightAims    = 1.5  // longest aims after which what was told of a backend has faded to a third
 	sightWeight  = 0.3  // weight of one answer in what is told of a backend
-	sightMost    = 16.0 // most that a backend is told to differ from its fellows: by less, all busy ones look alike
+	sightMost    = 16.0 // most that a backend is told to differ: by less, all busy ones look alike
 	coldTold     = 2.5  // times its fair share that a cold backend gets at most, where it is told to be idle
 	sightSteps   = 32   // steps of age in the shortest aim
 	busyMargin   = 0.15 // a backend that is wholly busy waits this much less than forever
@@ -147,7 +147,7 @@
 		g.do(Refuse{Request: ev.ID})
 		return
 	}
-	if g.full() && g.wait(c) > (g.startBy(r)-g.now).Seconds() { // before it takes units that it cannot use
+	if g.full() && g.wait(c) > (g.startBy(r)-g.now).Seconds() { // before it takes units in vain
 		g.turned.Full++
 		g.do(Refuse{Request: ev.ID, After: g.set.MaxRetryAfter})
 		return
