--- a/policy.go
+++ b/policy.go
@@ -125,7 +125,7 @@
 	g.unstick()
 	g.dispatch()
 	for _, p := range g.telling {
-		if at := max(p.due, p.paced); at > g.now { // what is due already waits for the pace of all, see mayTell
+		if at := max(p.due, p.paced); at > g.now { // what is due waits for the pace of all
 			g.by(at)
 		}
 	}
