--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,8 +28,17 @@
 	frontPart, fetchPart = 0.5, 0.25
 	sparesLeast          = 4
 	sparesPart           = 1.0 / 64 // spare connections kept per backend
+	// Spare connections that all limiters together keep at a backend, where one each is
+	// not more: it holds only so many, and tells nobody how many.
+	sparesTier = 128
 )
 
+// spares is how many spare connections a limiter keeps per backend.
+func spares(sockets float64, tier int) int {
+	own := max(int(sockets*sparesPart), sparesLeast)
+	return max(min(own, sparesTier/max(tier, 1)), 1)
+}
+
 // A Clock tells the time since its zero.
 type Clock struct{ zero time.Time }
 
@@ -120,7 +129,7 @@
 	sockets := float64(c.Limits.Sockets)
 	n.fetches = fetch.New(fetch.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Settings.IdleClose,
-		Fields: c.Settings.ReportFields, IdlePerBackend: max(int(sockets*sparesPart), sparesLeast),
+		Fields: c.Settings.ReportFields, IdlePerBackend: spares(sockets, c.Settings.Gateways),
 		MostConns: int(sockets * fetchPart), Post: n.post,
 	})
 	n.front = front.New(front.Options{
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -147,3 +147,15 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// All limiters together keep no more spare connections at a backend than it can be
+// thought to hold, however many limiters there are; few keep as many as they use.
+func TestSparesOfATier(t *testing.T) {
+	for _, c := range []struct{ sockets, tier, want int }{
+		{256, 0, 4}, {256, 3, 4}, {1024, 3, 16}, {1024, 20, 6}, {384, 80, 1}, {1024, 1000, 1},
+	} {
+		if got := spares(float64(c.sockets), c.tier); got != c.want {
+			t.Errorf("%d limiters of %d sockets: %d, want %d", c.tier, c.sockets, got, c.want)
+		}
+	}
+}
--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -14,7 +14,7 @@
 import "encoding/binary"
 
 const (
-	version    = 3
+	version    = 4
 	headSize   = 18
 	askSize    = 22
 	answerSize = 17
@@ -44,7 +44,10 @@
 	Unknown     = 255 // stands for a whole that the sender does not know
 )
 
-// An Ask tells how a customer stands at the sender, and what it would like.
+// An Ask tells how a customer stands at the sender, and what it would like. Of a
+// customer with a home Drawn is an int16: what was sent on without a word since the
+// last ask, below 0 what comes back; Share is the units asked for there since then
+// and not asked of the home; Demand and Level are not told.
 type Ask struct {
 	Customer uint32 // hash of its name
 	Plan     uint8  // place in the settings
@@ -53,7 +56,7 @@
 	Nonce    uint16 // names the ask; a repeat has the same
 	Want     uint16 // parts of the quota's store
 	Over     uint16 // parts of the ceiling's store
-	Drawn    uint16 // parts sent on there in this epoch, modulo 2^16; of a large set see quota
+	Drawn    uint16 // parts sent on there in this epoch, modulo 2^16; see below
 	Demand   uint8  // units a second asked for there, in DemandSteps of the rate
 	Level    int8   // of the store there, in LevelSteps of the burst
 	Share    uint8  // of the rate there, in ShareSteps
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -33,6 +33,8 @@
 	word    int     // what came since
 	hinted  bool    // an asker told what the level was
 	granted time.Duration
+	flying  []flight // of the ceiling, granted and maybe not there yet
+	aloft   float64  // their sum
 
 	places  int   // base places
 	lenders []int // the limiters that may help: the other holders
@@ -123,11 +125,16 @@
 // from one end of a loan to the next.
 func (a *Account) advance(now time.Duration) {
 	if !a.small() { // nothing is lent but places
-		if now > a.at {
-			a.fill((now - a.at).Seconds(), true)
-			a.at = now
-			a.expire()
+		for a.at < now {
+			next := now
+			if len(a.flying) > 0 {
+				next = min(max(a.flying[0].until, a.at), now)
+			}
+			a.fill((next - a.at).Seconds(), true)
+			a.at = next
+			a.land()
 		}
+		a.expire()
 		return
 	}
 	a.void()
@@ -186,7 +193,7 @@
 		ceiling *= 1 - LendMost
 	}
 	if !a.small() {
-		return quota, ceiling, 0, 0
+		return quota, ceiling, 0, a.aloft
 	}
 	moved := 0.0
 	for i := range a.links {
@@ -263,7 +270,7 @@
 		}
 		n := 0
 		for _, o := range k.out {
-			if o.settled <= a.at && o.units+o.over > 0 && a.small() {
+			if o.settled <= a.at && o.units+o.over > 0 {
 				a.ledger.Count.Unheard += o.units
 				o.units, o.over = 0, 0
 			}
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -52,9 +52,29 @@
 	at     time.Duration
 }
 
+// A flight is what a home granted of a ceiling, until it is there for sure or never
+// will be. It keeps its room: else the home's part would fill again meanwhile, and
+// all parts together could hold more than the whole.
+type flight struct {
+	units float64
+	until time.Duration
+}
+
+// land forgets the flights that have ended.
+func (a *Account) land() {
+	n := 0
+	for n < len(a.flying) && a.flying[n].until <= a.at {
+		a.aloft -= a.flying[n].units
+		n++
+	}
+	if a.flying = a.flying[n:]; len(a.flying) == 0 {
+		a.flying, a.aloft = nil, 0
+	}
+}
+
 // settleHome makes an account one of a large set.
 func (a *Account) settleHome(l *Ledger) {
-	a.even, a.roof, a.mine = 1/float64(a.size), 0, -1
+	a.roof = 0
 	a.homes = rank(a.Hash, a.first, a.size, l.Limiters, homes)
 	p := a.plan()
 	a.credit = saved{amount: p.Quota.Burst, at: l.born}
@@ -65,6 +85,7 @@
 		a.mine, a.part, a.roof = i, 1, roofs[i]
 		if i == 0 {
 			a.places = p.Places
+			l.homed = append(l.homed, a)
 		}
 		full := p.Quota.Burst
 		a.quota = full * restLevel
@@ -130,6 +151,9 @@
 		a.asked = true
 		return Wait, 0
 	}
+	if a.mine > 0 && l.firstHome(a, now) < 0 { // just found to be the one who decides
+		return l.reserveLarge(a, units, last, now)
+	}
 	a.asked = false
 	if p.Ceiling.Rate > 0 || p.Places > 0 { // no matter of credit
 		return Refused, wait
@@ -205,7 +229,7 @@
 				continue
 			}
 		}
-		l.nonce++
+		l.number()
 		k.pending, k.nonce, k.since, k.told = true, l.nonce, now, now
 		k.want, k.over, k.wantTo = 0, 0, 0
 		p := a.plan()
@@ -236,17 +260,23 @@
 	a.debt = 0
 }
 
-// returns has the home told soon of units that are not sent after all: nobody else
-// could use them.
-func (l *Ledger) returns(a *Account, now time.Duration) {
-	for _, who := range a.homes {
-		if p := l.peer(who); who == l.Self || now >= p.silentUntil && !p.dead && !p.missed {
-			if k := a.link(who); who != l.Self {
-				k.needed = true
-				l.queue(a, k, now)
-			}
-			return
-		}
+// returns gives units back that are not sent after all: to the home, which is told
+// soon, as nobody else could use them; or to this limiter's own level, where it
+// decides itself. If that telling is lost, so are the units.
+func (l *Ledger) returns(a *Account, units float64, now time.Duration) {
+	first := -1
+	if a.mine != 0 {
+		first = l.firstHome(a, now)
+	}
+	if first < 0 && a.mine >= 0 {
+		a.quota += units
+		return
+	}
+	a.debt -= units
+	if first >= 0 {
+		k := a.link(a.homes[first])
+		k.needed = true
+		l.queue(a, k, now)
 	}
 }
 
@@ -271,6 +301,11 @@
 		return
 	}
 	k.known, k.heard = true, now
+	k.answer = peermsg.Answer{Customer: a.Hash, Nonce: m.Nonce}
+	if a.mine < 0 { // asked in error: there is nothing to give, nor to give back to
+		l.answer(who, k.answer)
+		return
+	}
 	p := a.plan()
 	if m.Whole != peermsg.Unknown && p.Quota.Rate > 0 {
 		hint := float64(m.Whole) / peermsg.WholeSteps * p.Quota.Burst
@@ -286,7 +321,7 @@
 	a.demand.add(now, max(want, over)+float64(m.Share))
 	// Below nothing it is what comes back; the store holds no more than its burst.
 	a.quota = min(max(a.quota-float64(int16(m.Drawn))/peermsg.Part, -p.Quota.Burst), max(p.Quota.Burst, a.quota))
-	answer := peermsg.Answer{Customer: a.Hash, Nonce: m.Nonce}
+	answer := k.answer
 	held := 0
 	for i := range k.out {
 		held += min(k.out[i].places, int(m.Held))
@@ -302,7 +337,10 @@
 		}
 		answer.Places = uint8(held)
 	}
-	if a.mine >= 0 && granted {
+	if granted {
+		if over > 0 {
+			a.flying, a.aloft = append(a.flying, flight{over, now + lenderWait}), a.aloft+over
+		}
 		a.granted = now
 		a.quota -= want
 		a.ceiling -= over
@@ -311,7 +349,9 @@
 	}
 	a.tellView(&answer, now)
 	k.answer = answer
-	l.answer(who, answer)
+	if m.Want+m.Over > 0 || m.Places > 0 { // what only gives back waits for nothing
+		l.answer(who, answer)
+	}
 }
 
 // tellView adds to an answer how the customer stands at its home.
@@ -346,13 +386,13 @@
 // hot are words on the busiest customers whose home this is, told unasked: who hears
 // of them need not ask for each of their reqs.
 func (l *Ledger) hot(most int, now time.Duration) (list []peermsg.Answer) {
-	for range l.order {
+	for range l.homed {
 		if len(list) >= most {
 			return list
 		}
-		l.hotAt = (l.hotAt + 1) % len(l.order)
-		a := l.order[l.hotAt]
-		if a.mine != 0 || a.small() || now-a.seen > hotFor {
+		l.hotAt = (l.hotAt + 1) % len(l.homed)
+		a := l.homed[l.hotAt]
+		if now-a.seen > hotFor {
 			continue
 		}
 		if r := a.plan().Quota.Rate; r > 0 && a.quota < a.plan().Quota.Burst/4 && a.demand.value(now) > hotDemand*r {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -144,8 +144,9 @@
 	swept    int
 	peers    map[int]*peer
 	nonce    uint16
-	hotAt    int   // in order: where the search for hot customers goes on
-	ready    []int // peers to be told, in the order found
+	homed    []*Account // those whose home this is
+	hotAt    int        // among these: where the search for hot ones goes on
+	ready    []int      // peers to be told, in the order found
 }
 
 // A peer is another limiter.
@@ -359,13 +360,10 @@
 func (l *Ledger) GiveBack(a *Account, units float64, now time.Duration) {
 	a.advance(now)
 	a.Sent(units)
-	if p := a.plan(); p.Quota.Rate > 0 {
+	if p := a.plan(); p.Quota.Rate > 0 && !a.small() {
+		l.returns(a, units, now)
+	} else if p.Quota.Rate > 0 {
 		a.quota += units
-		if !a.small() && a.mine != 0 { // where they came from, or where they would be told as a debt
-			a.debt -= units
-			a.quota -= units
-			l.returns(a, now)
-		}
 		a.whole += units
 		a.drawn -= uint16(math.Ceil(units * peermsg.Part))
 	}
@@ -443,7 +441,7 @@
 		if !useful || now < k.rest {
 			continue
 		}
-		l.nonce++
+		l.number()
 		k.pending, k.nonce, k.since, k.told, k.rest = true, l.nonce, now, now, now+askRest
 		k.want, k.over, k.wantTo = want, overWant, place
 		l.queue(a, k, now)
@@ -517,7 +515,7 @@
 			continue
 		}
 		if k.needed && !k.pending {
-			l.nonce++
+			l.number()
 			k.nonce, k.want, k.over, k.wantTo = l.nonce, 0, 0, 0
 			if !a.small() {
 				k.owe(a)
@@ -540,6 +538,14 @@
 	return asks, answers, len(p.asks)+len(p.answers) > 0
 }
 
+// number moves on to the next name of an ask. None is 0: that is what a home tells
+// unasked.
+func (l *Ledger) number() {
+	if l.nonce++; l.nonce == 0 {
+		l.nonce = 1
+	}
+}
+
 func (l *Ledger) ask(a *Account, k *link, now time.Duration) peermsg.Ask {
 	a.advance(now)
 	if !a.small() {
@@ -746,7 +752,7 @@
 func (l *Ledger) Look(now time.Duration) {
 	silent := 0
 	for who := range l.Limiters {
-		if p := l.peers[who]; p != nil && p.known && now-p.heard > silentFor {
+		if l.quiet(l.peers[who], now) {
 			silent++
 		}
 	}
@@ -773,13 +779,19 @@
 		return
 	}
 	for who := range l.Limiters {
-		if p := l.peers[who]; p != nil && p.known && now-p.heard > silentFor && !p.dead {
+		if p := l.peers[who]; l.quiet(p, now) && !p.dead {
 			p.dead = true
 			l.Count.Dead++
 		}
 	}
 }
 
+// quiet tells whether a peer is silent that should not be. In a tier of many most
+// pairs have nothing to tell each other for seconds, and only an unanswered ask counts.
+func (l *Ledger) quiet(p *peer, now time.Duration) bool {
+	return p != nil && p.known && now-p.heard > silentFor && (p.missed || l.Limiters <= 2*Holders)
+}
+
 // Level is what may be sent on here of an account's quota, in units.
 func (l *Ledger) Level(a *Account, now time.Duration) float64 {
 	a.advance(now)
@@ -806,6 +818,9 @@
 		}
 		delete(l.accounts, a.Hash)
 		a.Gone = true
+		if a.mine == 0 {
+			l.homed = slices.DeleteFunc(l.homed, func(o *Account) bool { return o == a })
+		}
 		last := len(l.order) - 1
 		l.order[l.swept] = l.order[last]
 		l.order[last] = nil
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -269,3 +269,20 @@
 		t.Errorf("%d backends kept", len(r.backends))
 	}
 }
+
+// A limiter that has a list to begin with is ready soon, whatever discovery does:
+// after a release discovery answers late, and clients wait for the limiter.
+func TestReadyWithAKnownList(t *testing.T) {
+	for _, c := range []struct {
+		known []Entry
+		late  time.Duration
+	}{{[]Entry{entry("b1", "h:1", lemongate.Live, 0)}, settleKnown}, {nil, settleWithin}} {
+		r := start(t, c.known...)
+		if r.Step(time.Hour+c.late-time.Millisecond, Ticked{}); r.Phase() != Starting {
+			t.Errorf("%d known: %v before %v", len(c.known), r.Phase(), c.late)
+		}
+		if r.Step(time.Hour+c.late, Ticked{}); r.Phase() != Serving {
+			t.Errorf("%d known: %v after %v", len(c.known), r.Phase(), c.late)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -147,17 +147,15 @@
 		g.do(Refuse{Request: ev.ID})
 		return
 	}
-	if g.full() && g.wait(c) > (g.startBy(r)-g.now).Seconds() { // before it takes units in vain
-		g.turned.Full++
-		g.do(Refuse{Request: ev.ID, After: g.set.MaxRetryAfter})
-		return
-	}
 	g.requests[ev.ID] = r
 	g.look()
 	if g.first == 0 {
 		g.first = g.now
 	}
 	g.ledger.Demand(r.customer.account, ev.Units, g.now)
+	if g.hopeless(r) { // before it takes units in vain
+		return
+	}
 	if len(r.customer.asks) > 0 || !g.reserve(r, false) {
 		g.hold(r)
 	}
@@ -175,9 +173,7 @@
 	r.held = true
 	r.customer.held++
 	g.places(r.customer)
-	if g.full() && g.wait(r.class) > (g.startBy(r)-g.now).Seconds() {
-		g.turned.Full++
-		g.end(r)
+	if g.hopeless(r) {
 		return
 	}
 	r.class.queue = append(r.class.queue, r)
@@ -185,6 +181,16 @@
 	g.dispatch()
 }
 
+// hopeless ends a request that would wait longer for room than is of use.
+func (g *Gateway) hopeless(r *request) bool {
+	if !g.full() || g.wait(r.class) <= (g.startBy(r)-g.now).Seconds() {
+		return false
+	}
+	g.turned.Full++
+	g.end(r)
+	return true
+}
+
 // waited tells how long a client has been waiting since its first try. Trouble: a repeat after the aim
 // is worth nothing, yet takes units and a place. A try's budget is the usual one or what is left before
 // the deadline. Where budgets just differ, nothing is told (incident iaef1fa).
@@ -489,7 +495,11 @@
 // once, as the program may end any moment. What comes in from now on is refused: its units may be taken.
 func (g *Gateway) leave() {
 	g.left = true
-	for range leaveTold {
+	times := leaveTold
+	if g.pause > 0 { // in a large tier the few who ask find out as well
+		times = 1
+	}
+	for range times {
 		for who := range g.set.Gateways {
 			if who != g.set.Self && g.talks() {
 				g.tell(g.peer(who))
