--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -14,11 +14,11 @@
 import "encoding/binary"
 
 const (
-	version    = 4
+	version    = 5
 	headSize   = 18
-	askSize    = 22
+	askSize    = 23
 	answerSize = 17
-	sightSize  = 5
+	sightSize  = 6
 	maxSize    = 256
 )
 
@@ -52,7 +52,7 @@
 	Customer uint32 // hash of its name
 	Plan     uint8  // place in the settings
 	First    uint16 // the customer's set: Size limiters in a row from First
-	Size     uint8  // 0 stands for 256
+	Size     uint16
 	Nonce    uint16 // names the ask; a repeat has the same
 	Want     uint16 // parts of the quota's store
 	Over     uint16 // parts of the ceiling's store
@@ -81,12 +81,16 @@
 
 // A Sight is what is known of a backend.
 type Sight struct {
-	Backend uint16 // hash of its ID
+	Backend uint32 // hash of its ID, of which 24 bits are told: see Key
 	Load    uint8  // against its fellows, 16 to the octave around 128
 	Fails   uint8  // share of failures, in 255ths
 	Age     uint8  // in parts of the shortest aim, see the policy
 }
 
+// Key is the part of a backend's hash that a Sight has room for. Among 200 backends
+// two share one in a fleet of 800; of 16 bits they would in one of four.
+func Key(hash uint32) uint32 { return hash & (1<<24 - 1) }
+
 // A Message is what one limiter tells another. A later epoch means a new start.
 type Message struct {
 	Epoch   uint32
@@ -106,7 +110,7 @@
 	data = append(data, m.Strain, m.Age, uint8(len(m.Asks)), uint8(len(m.Answers)), uint8(len(m.Sights)))
 	for _, a := range m.Asks {
 		data = append(be.AppendUint32(data, a.Customer), a.Plan)
-		data = append(be.AppendUint16(data, a.First), a.Size)
+		data = be.AppendUint16(be.AppendUint16(data, a.First), a.Size)
 		data = be.AppendUint16(be.AppendUint16(be.AppendUint16(be.AppendUint16(data, a.Nonce), a.Want), a.Over), a.Drawn)
 		data = append(data, a.Demand, uint8(a.Level), a.Share, a.Held, a.Places, a.Whole)
 	}
@@ -116,7 +120,7 @@
 		data = append(data, a.Share, uint8(a.Level), a.Demand, a.Places, a.Whole)
 	}
 	for _, s := range m.Sights {
-		data = append(be.AppendUint16(data, s.Backend), s.Load, s.Fails, s.Age)
+		data = append(data, uint8(s.Backend>>16), uint8(s.Backend>>8), uint8(s.Backend), s.Load, s.Fails, s.Age)
 	}
 	return data
 }
@@ -137,9 +141,9 @@
 	data = data[headSize:]
 	for range asks {
 		m.Asks = append(m.Asks, Ask{
-			Customer: be.Uint32(data), Plan: data[4], First: be.Uint16(data[5:]), Size: data[7],
-			Nonce: be.Uint16(data[8:]), Want: be.Uint16(data[10:]), Over: be.Uint16(data[12:]),
-			Drawn: be.Uint16(data[14:]), Demand: data[16], Level: int8(data[17]), Share: data[18], Held: data[19], Places: data[20], Whole: data[21],
+			Customer: be.Uint32(data), Plan: data[4], First: be.Uint16(data[5:]), Size: be.Uint16(data[7:]),
+			Nonce: be.Uint16(data[9:]), Want: be.Uint16(data[11:]), Over: be.Uint16(data[13:]),
+			Drawn: be.Uint16(data[15:]), Demand: data[17], Level: int8(data[18]), Share: data[19], Held: data[20], Places: data[21], Whole: data[22],
 		})
 		data = data[askSize:]
 	}
@@ -153,7 +157,7 @@
 	}
 	for range sights {
 		m.Sights = append(m.Sights, Sight{
-			Backend: be.Uint16(data), Load: data[2], Fails: data[3], Age: data[4],
+			Backend: uint32(data[0])<<16 | uint32(be.Uint16(data[1:])), Load: data[3], Fails: data[4], Age: data[5],
 		})
 		data = data[sightSize:]
 	}
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -287,7 +287,7 @@
 		whole = uint8(level / max(a.plan().Quota.Burst, 1e-3) * peermsg.WholeSteps)
 	}
 	return peermsg.Ask{
-		Customer: a.Hash, Plan: uint8(a.Plan), First: uint16(a.first), Size: uint8(a.size), Nonce: k.nonce,
+		Customer: a.Hash, Plan: uint8(a.Plan), First: uint16(a.first), Size: uint16(a.size), Nonce: k.nonce,
 		Want: parts(k.want), Over: parts(k.over), Drawn: k.drawn, Share: k.extra, Whole: whole,
 		Held: uint8(min(k.got.places, 255)), Places: uint8(k.wantTo),
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -553,7 +553,7 @@
 	}
 	quota, _, _, _ := a.shares(true)
 	return peermsg.Ask{
-		Customer: a.Hash, Plan: uint8(a.Plan), First: uint16(a.first), Size: uint8(a.size), Nonce: k.nonce,
+		Customer: a.Hash, Plan: uint8(a.Plan), First: uint16(a.first), Size: uint16(a.size), Nonce: k.nonce,
 		Want: parts(k.want), Over: parts(k.over), Demand: a.tellDemand(now), Level: a.tellLevel(),
 		Drawn: a.drawn, Whole: a.tellWhole(), Share: uint8(min(max(quota-k.got.share, 0), 1) * peermsg.ShareSteps), Held: uint8(min(k.got.places, math.MaxUint8)),
 		Places: uint8(k.wantTo),
@@ -612,10 +612,7 @@
 // Asked takes in how a customer stands at a peer, and lends what it may.
 func (l *Ledger) Asked(who int, m peermsg.Ask, now time.Duration) {
 	size := int(m.Size)
-	if size == 0 {
-		size = 256
-	}
-	if int(m.Plan) >= len(l.Plans) || int(m.First) >= l.Limiters || size > l.Limiters {
+	if int(m.Plan) >= len(l.Plans) || int(m.First) >= l.Limiters || size == 0 || size > l.Limiters {
 		return
 	}
 	inSet := func(n int) bool { return (n-int(m.First)+l.Limiters)%l.Limiters < size }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -28,7 +28,7 @@
 // Bounds of the program's life. They are the platform's, not a site's.
 const (
 	settleWithin = 2 * time.Second        // ready by then, whatever discovery does
-	settleKnown  = 300 * time.Millisecond // likewise with a list to begin with, which may be old
+	settleKnown  = time.Second            // likewise with a list to begin with: what drained since may be in it
 	acceptAfter  = 500 * time.Millisecond // new connections go on coming for 0.4 s after SIGTERM
 	killAfter    = 700 * time.Millisecond // SIGKILL comes this long after the longest deadline ...
 	killLeast    = 3 * time.Second        // ... counted as this long at least
--- a/policy_test.go
+++ b/policy_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -1039,6 +1040,31 @@
 	}
 }
 
+// Of two backends that peers call by one key nothing is taken in: what is told of the
+// one that is gone would eject the other.
+func TestBackendsOfOneKey(t *testing.T) {
+	names, seen := []string{"a"}, map[uint32]string{}
+	for i := 0; len(names) < 3; i++ {
+		name := "s-" + strconv.Itoa(i)
+		if key := peermsg.Key(hashOf(name)); seen[key] != "" {
+			names = append(names, name, seen[key])
+		} else {
+			seen[key] = name
+		}
+	}
+	b := newBench(t, settings(), fleet(names...)...)
+	b.now += time.Second
+	gone := func(name string) peermsg.Sight {
+		return peermsg.Sight{Backend: peermsg.Key(hashOf(name)), Load: 128, Fails: 255}
+	}
+	b.do(&PeerMessage{From: 1, Data: peermsg.Message{Epoch: 5, Seq: 1, Sights: []peermsg.Sight{gone("a"), gone(names[1])}}.Append(nil)})
+	for i, name := range names {
+		if got := b.g.known[name].ejected(); got != (i == 0) {
+			t.Errorf("%s ejected: %v", name, got)
+		}
+	}
+}
+
 // A single answer of a backend says little of it beside what peers tell, many say all.
 func TestFewAnswersWeighLittle(t *testing.T) {
 	b := newBench(t, settings(), fleet("a", "b")...)
--- a/state.go
+++ b/state.go
@@ -19,7 +19,7 @@
 	g := &Gateway{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0)), peers: map[int]*peer{}, byName: map[string]*class{},
 		plans: map[string]int{}, requests: map[RequestID]*request{}, known: map[string]*backend{},
-		byKey: map[uint16]*backend{}, customers: map[string]*customer{},
+		byKey: map[uint32]*backend{}, customers: map[string]*customer{},
 	}
 	g.set.Gateways = max(set.Gateways, 1)
 	for _, c := range set.Classes {
@@ -57,7 +57,7 @@
 	backends []*backend // listed and live
 	known    map[string]*backend
 
-	byKey    map[uint16]*backend // listed and live, by what peers call them
+	byKey    map[uint32]*backend // listed and live, by what peers call them
 	news     []*backend          // seen of late and not yet told often enough
 	meanLoad float64             // of the load reports seen here
 
@@ -147,7 +147,7 @@
 	gone    bool
 	left    time.Duration // when it went, 0 while it is listed
 
-	key   uint16        // what peers call it
+	key   uint32        // what peers call it
 	load  float64       // against its fellows, as anyone saw it last
 	heard time.Duration // when that was
 	told  int           // times still to be told
@@ -263,7 +263,7 @@
 		b := g.known[e.ID]
 		if b == nil || b.Started != e.Started && e.State == Live {
 			old := b
-			b = &backend{load: 1, key: uint16(hashOf(e.ID))}
+			b = &backend{load: 1, key: peermsg.Key(hashOf(e.ID))}
 			if old != nil {
 				b.open = old.open
 				for _, r := range b.open {
@@ -291,6 +291,10 @@
 	}
 	slices.SortFunc(g.backends, func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
 	for _, b := range g.backends {
+		if _, twice := g.byKey[b.key]; twice { // what is told of one would be taken for the other
+			g.byKey[b.key] = nil
+			continue
+		}
 		g.byKey[b.key] = b
 	}
 	return started
