Keep each gateway of a large tier to some backends, so that connections serve again

A limiter sends 5 reqs a second, so a pair meets once in 28 s, and a connection idles out after 10. Each refused connect, which one full connection table causes, also ejects that backend everywhere (learn in policy.go). Ruled out: closes by the backends (0 closed as idle, 0 reqs written to those).

At fault: choose drew from all backends. Now each gateway keeps to 12 of them, in its own rendezvous order, or more where the tier is small beside the fleet (12 gateways at least to a backend); it goes on in that order where these fail or are cold. Three limiters still use all. Trials of an ejected backend count those that keep to it; probes stay as many over the tier. TestKeepsToSome (3, 80 and 300) fails without it; TestColdSum now plays 300 gateways, each with a number of its own.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -861,7 +861,7 @@
 	all := make([]scored, 0, size)
 	for i := range size {
 		who := (first + i) % limiters
-		all = append(all, scored{who, mix(uint64(hash)<<32 | uint64(who))})
+		all = append(all, scored{who, Mix(uint64(hash)<<32 | uint64(who))})
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	list := make([]int, 0, n)
@@ -871,8 +871,8 @@
 	return list
 }
 
-// mix spreads the bits of a number evenly (the finalizer of SplitMix64).
-func mix(v uint64) uint64 {
+// Mix spreads the bits of a number evenly (the finalizer of SplitMix64).
+func Mix(v uint64) uint64 {
 	v ^= v >> 30
 	v *= 0xbf58476d1ce4e5b9
 	v ^= v >> 27
--- a/policy.go
+++ b/policy.go
@@ -67,6 +67,8 @@
 	stuckTimes   = 4.0  // mean latencies after which a silent backend's attempt is called off
 	coldMargin   = 0.9  // part of a cold backend's fair share that it is sent
 	coldFleet    = 0.5  // a fleet colder than this, for its size, is not sent all that a warm one was
+	keepLeast    = 12   // backends that a gateway keeps to at least: enough to go round one that fails
+	keepTier     = 12.0 // gateways that keep to a backend at least; in a small tier all do
 	lookLeast    = 3    // backends to choose among, at random: all gateways would rush to the best one
 	lookFleet    = 4.0  // the same for all gateways together, in fleets: two see nearly all there is
 	sightAims    = 1.5  // longest aims after which what was told of a backend has faded to a third
@@ -573,7 +575,8 @@
 	if !g.set.MayProbe || len(g.set.ReportFields) == 0 || len(g.backends) == 0 {
 		return
 	}
-	b := g.backends[g.rng.IntN(len(g.backends))]
+	n, _ := g.near()
+	b := g.backends[g.rng.IntN(n)]
 	each := float64(len(g.backends)) / float64(g.set.Gateways)
 	if (g.now-max(b.heard, b.seen)).Seconds() > probeAims*g.aimShort.Seconds() &&
 		g.probes.grow(g.now, each/(probeRound*g.aimLong.Seconds())) >= 1 {
@@ -694,14 +697,19 @@
 }
 
 // choose picks the backend for the next attempt: the one expected to answer soonest, among a few at
-// random, more where the rules allow none. Trouble: hundreds of gateways would rush to the best one.
+// random that it keeps to, more where the rules allow none. Trouble: hundreds of gateways would rush to the
+// best one; and where each of 300 spread its few requests over all of 150, nearly each opened a connection,
+// and the backends had no room for these.
 func (g *Gateway) choose(r *request) *backend {
 	var best, cold *backend
 	least, warm := math.Inf(1), false
-	n := len(g.backends)
+	n, bear := g.near()
 	look := min(max(int(lookFleet*float64(n)/float64(g.set.Gateways)), lookLeast), n)
-	for i, from := 0, g.rng.IntN(max(n, 1)); i < n && (i < look || !warm || least > 1e2); i++ {
-		b := g.backends[(from+i)%n]
+	for i, from := 0, g.rng.IntN(max(n, 1)); i < len(g.backends) && (i < look || !warm || least > 1e2); i++ {
+		b := g.backends[i]
+		if i < n {
+			b = g.backends[(from+i)%n]
+		}
 		if !g.allowed(r, b) || b.turned[g.kind(r)] > g.now {
 			continue
 		}
@@ -709,7 +717,7 @@
 			if cold == nil || g.warmth(cold) < g.warmth(b) {
 				cold = b
 			}
-			if i >= look || !g.coldRoom(b, look) {
+			if i >= look || !g.coldRoom(b, look, n, bear) {
 				continue
 			}
 		}
@@ -726,7 +734,7 @@
 			best, least = b, cost
 		}
 	}
-	rate := coldMargin * g.sendRate.value(g.now, g.memory) * g.warm() / (coldFleet * float64(max(n, 1)))
+	rate := coldMargin * g.sendRate.value(g.now, g.memory) * bear / (coldFleet * float64(max(n, 1)))
 	if !warm && cold != nil {
 		if best = nil; g.cold.grow(g.now, rate) >= 1 {
 			g.cold.amount, best = g.cold.amount-1, cold
@@ -825,7 +833,7 @@
 		return
 	}
 	wait := trialAims * g.aimLong.Seconds() * float64(int(1)<<min(b.doubts, trialDoubles))
-	wait *= max(float64(g.set.Gateways)/trialSenders, 1) * (1 + g.rng.Float64()) / 1.5
+	wait *= max(g.sharers()/trialSenders, 1) * (1 + g.rng.Float64()) / 1.5
 	b.until = g.now + seconds(wait)
 	b.doubts++
 }
@@ -862,10 +870,10 @@
 // share, so that all gateways together, each by chance, send it no more than the warm ones bear. Its warmth
 // is the least that it may have; where it is told to be idle it gets more, bounded well below what fells it.
 // Trouble: with six in ten backends cold they stood idle, and the warm ones had 33 attempts each.
-func (g *Gateway) coldRoom(b *backend, look int) bool {
-	n := float64(len(g.backends))
+func (g *Gateway) coldRoom(b *backend, look, near int, bear float64) bool {
+	n := float64(near)
 	more := 1 + g.told(b)*(min(max(1/b.load, 1), coldTold)-1)
-	return g.rng.Float64() < more*coldMargin*g.warmth(b)*n/max(g.warm(), coldFleet*n)/float64(look)
+	return g.rng.Float64() < more*coldMargin*g.warmth(b)*n/max(bear, coldFleet*n)/float64(look)
 }
 
 // told is how much of what was told of a backend still counts.
--- a/policy_test.go
+++ b/policy_test.go
@@ -1090,13 +1090,14 @@
 		cold[0].Started = b.now
 		b.do(&List{Kind: ListFull, Backends: cold})
 		x, n := b.g.known["a"], 0
+		_, warm := b.g.near()
 		for range 20000 {
 			x.heard, x.load = b.now, load
-			if b.g.coldRoom(x, 1) {
+			if b.g.coldRoom(x, 1, 10, warm) {
 				n++
 			}
 		}
-		return float64(n) / 20000 / 10 / b.g.warmth(x) * b.g.warm() // of its fair share
+		return float64(n) / 20000 / 10 / b.g.warmth(x) * warm // of its fair share
 	}
 	idle, busy := rate(0.25), rate(2)
 	if idle < 1.8 || idle > 2.5 || busy > 1 {
@@ -1131,6 +1132,49 @@
 	}
 }
 
+// In a large tier each gateway keeps to some backends, so that its connections serve more than one request,
+// and each backend has about as many gateways; a few gateways use all of a small fleet. One whose backends
+// have all failed goes beyond them.
+func TestKeepsToSome(t *testing.T) {
+	for _, c := range []struct{ gateways, backends, least, most int }{{3, 10, 10, 10}, {80, 60, 12, 12}, {300, 200, 12, 12}, {300, 20, 12, 12}} {
+		set := settings()
+		set.Gateways = c.gateways
+		ids := make([]string, c.backends)
+		for i := range ids {
+			ids[i] = fmt.Sprintf("b%03d", i)
+		}
+		shared := map[string]int{}
+		for self := range c.gateways {
+			set.Self = self
+			b := newBench(t, set, fleet(ids...)...)
+			r := &request{Request: &Request{}, class: b.g.classes[0], customer: b.g.lookup(&Request{Customer: "x", Plan: "free"})}
+			used := map[string]bool{}
+			for range 400 {
+				used[b.g.choose(r).ID] = true
+			}
+			if len(used) < c.least || len(used) > c.most {
+				t.Fatalf("%d gateways, %d backends: one uses %d of these, want %d to %d", c.gateways, c.backends, len(used), c.least, c.most)
+			}
+			for id := range used {
+				shared[id]++
+				b.g.eject(b.g.known[id])
+			}
+			if self == 0 && c.backends > c.most && used[b.g.choose(r).ID] {
+				t.Error("went on with an ejected backend")
+			}
+		}
+		mean := float64(c.gateways*c.most) / float64(c.backends)
+		for id, n := range shared {
+			if float64(n) > 2.2*mean {
+				t.Errorf("%d gateways, %d backends: %d keep to %s, %.0f are usual", c.gateways, c.backends, n, id, mean)
+			}
+		}
+		if len(shared) < c.backends*9/10 {
+			t.Errorf("%d gateways, %d backends: only %d are used", c.gateways, c.backends, len(shared))
+		}
+	}
+}
+
 // Probes of all gateways together are bounded, however many they are and whatever is heard.
 func TestProbesOfATier(t *testing.T) {
 	for _, gateways := range []int{3, 20, 80} {
@@ -1175,7 +1219,7 @@
 		gateways int
 		cold     int
 		within   time.Duration
-	}{{"zone", 80, 20, 0}, {"replaced", 80, 36, 7 * time.Second}, {"zone", 20, 20, 0}, {"zone", 3, 20, 0}} {
+	}{{"zone", 80, 20, 0}, {"replaced", 80, 36, 7 * time.Second}, {"zone", 20, 20, 0}, {"zone", 3, 20, 0}, {"zone", 300, 20, 0}, {"replaced", 300, 36, 7 * time.Second}} {
 		random := rand.New(rand.NewPCG(11, uint64(c.gateways)))
 		set := settings()
 		set.Gateways, set.MayTell, set.ReportFields = c.gateways, false, []string{"latency_ms", "util"}
@@ -1208,6 +1252,7 @@
 		var gates []*Gateway
 		late := make([]time.Duration, c.gateways)
 		for i := range c.gateways {
+			set.Self = i
 			g := New(set, uint64(i))
 			g.Handle(time.Hour-time.Minute, &List{Kind: ListFull, Backends: list}, nil)
 			gates, late[i] = append(gates, g), time.Duration(random.IntN(1000))*ms
@@ -1219,6 +1264,7 @@
 			for i, g := range gates {
 				if (now-time.Hour)%(100*ms) == 0 && now > time.Hour+late[i] {
 					if now == time.Hour+2*time.Second && i%8 == 0 { // just back
+						set.Self = i
 						g = New(set, uint64(1000+i))
 						gates[i] = g
 					}
--- a/state.go
+++ b/state.go
@@ -54,7 +54,7 @@
 	requests  map[RequestID]*request
 	retries   []*request // waiting for a backend that their next attempt may use
 
-	backends []*backend // listed and live
+	backends []*backend // listed and live; in a large tier those first that this gateway keeps to
 	known    map[string]*backend
 
 	byKey    map[uint32]*backend // listed and live, by what peers call them
@@ -290,6 +290,11 @@
 		}
 	}
 	slices.SortFunc(g.backends, func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
+	if g.keeps() < len(g.backends) {
+		// By rendezvous: when the list changes, each gateway's order hardly does, and backends
+		// share the gateways out evenly.
+		slices.SortStableFunc(g.backends, func(a, b *backend) int { return cmp.Compare(g.place(a), g.place(b)) })
+	}
 	for _, b := range g.backends {
 		if _, twice := g.byKey[b.key]; twice { // what is told of one would be taken for the other
 			g.byKey[b.key] = nil
@@ -300,6 +305,35 @@
 	return started
 }
 
+// place is where a backend stands in this gateway's own order of all.
+func (g *Gateway) place(b *backend) uint64 {
+	return quota.Mix(uint64(hashOf(b.ID))<<32 | uint64(uint32(g.set.Self)))
+}
+
+// keeps is how many backends this gateway keeps to, if that is less than all.
+func (g *Gateway) keeps() int {
+	return max(int(math.Ceil(keepTier*float64(len(g.backends))/float64(g.set.Gateways))), keepLeast)
+}
+
+// sharers is how many gateways keep to a backend.
+func (g *Gateway) sharers() float64 {
+	return float64(g.set.Gateways) * min(float64(g.keeps())/float64(max(len(g.backends), 1)), 1)
+}
+
+// near is how many of the backends, from the first on, hold as many of use as this gateway keeps to, and
+// what those bear, in warm ones. Where many are cold it takes more.
+func (g *Gateway) near() (n int, warm float64) {
+	usable, most := 0, g.keeps()
+	for n < len(g.backends) && (usable < most || warm < coldFleet*float64(most)) {
+		if b := g.backends[n]; !b.ejected() {
+			usable++
+			warm += g.warmth(b)
+		}
+		n++
+	}
+	return n, warm
+}
+
 // ejected tells whether a backend is trusted with no more than trials.
 func (b *backend) ejected() bool { return b.until > 0 }
 
@@ -456,17 +490,6 @@
 	return slices.Clone(g.asking)
 }
 
-// warm is the capacity of the trusted backends, in warm ones.
-func (g *Gateway) warm() float64 {
-	sum := 0.0
-	for _, o := range g.backends {
-		if !o.ejected() {
-			sum += g.warmth(o)
-		}
-	}
-	return sum
-}
-
 // kind is what a backend may turn away apart from the rest: a class of a plan.
 func (g *Gateway) kind(r *request) int {
 	return r.customer.number*len(g.classes) + slices.Index(g.classes, r.class)
