--- a/state.go
+++ b/state.go
@@ -552,17 +552,13 @@
 	b.turned[kind] = until
 }
 
-// moments takes a latency into the running ones. The first ones count alike. Trouble: in a tier of 300 the first
-// answer, in three of ten cases of a third of the mean, was for long what all others were held against.
+// moments takes a latency into the running ones.
 func (c *class) moments(x, most, weight float64) {
 	if c.mean == 0 {
 		c.mean, c.mean2 = x, x*x
 	}
 	c.answers++
-	weight = max(weight, 1/float64(c.answers))
-	if float64(c.answers) >= most {
-		x = min(x, most*c.mean)
-	}
+	x = min(x, most*c.mean)
 	c.mean += weight * (x - c.mean)
 	c.mean2 += weight * (x*x - c.mean2)
 }
@@ -732,6 +728,8 @@
 func clamp(share float64) float64 { return min(max(share, shareLeast), 1) }
 
 // expected is what an attempt takes, by the answers that there were, and at first rather the part of the aim.
+// Trouble: in a tier of 300 the first answer, in three of ten cases of a third of the mean, was for long what all
+// others were held against.
 func (c *class) expected() float64 {
 	n := float64(c.answers)
 	return (n*c.mean + strainLook*max(c.part(), c.mean)) / (n + strainLook)
