Answer operators' calls: health, and figures in Prometheus's form

Design: the reducer hands figures out as an effect, every 0.1 s at most and only when something happened; the console shows the last ones. Rejected: answering each call through the loop, as a caller would then wait behind a busy loop and cost it time; and counting at the edges, as only the reducer knows how a req ended. Attempts are counted by the edge that writes them, at the moment they are whole.

--- a/cmd/lemongate/main.go
+++ b/cmd/lemongate/main.go
@@ -21,7 +21,7 @@
 
 // release is the version told by the version command; CHANGELOG.md says what
 // is in it.
-const release = "0.5.0"
+const release = "0.6.0"
 
 // memoryPart is the part of the memory limit that the Go heap is held to; the
 // rest is for stacks, the program itself and what the system keeps for it.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string
+	Console   string // where operators call; empty for nowhere
 	Seed      uint64
 	Limits    Limits
 
@@ -48,6 +49,7 @@
 	Name       string              `json:"name"`
 	Listen     string              `json:"listen"`
 	Discovery  string              `json:"discovery"`
+	Console    string              `json:"console"`
 	Seed       string              `json:"seed"`
 	Limits     Limits              `json:"limits"`
 	PeerListen string              `json:"peer_listen"`
@@ -57,8 +59,8 @@
 	Settings   jsoniter.RawMessage `json:"settings"`
 }
 
-// Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and
-// ROUTER_DISCOVERY go before what the file says. Origin is the Unix time at
+// Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN,
+// ROUTER_DISCOVERY and ROUTER_CONSOLE go before what the file says. Origin is the Unix time at
 // which the program's clock stood at zero.
 func Load(env func(string) string, origin time.Time) (*Config, error) {
 	return load(env, origin, false)
@@ -93,6 +95,7 @@
 	}
 	for name, to := range map[string]*string{
 		"ROUTER_NAME": &f.Name, "ROUTER_LISTEN": &f.Listen, "ROUTER_DISCOVERY": &f.Discovery,
+		"ROUTER_CONSOLE": &f.Console,
 	} {
 		if again && name == "ROUTER_DISCOVERY" && *to != "" {
 			continue
@@ -101,7 +104,7 @@
 			*to = v
 		}
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Seed: seed(f.Seed)}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Limits: f.Limits, Seed: seed(f.Seed)}
 	var err error
 	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -120,6 +123,11 @@
 			return nil, fmt.Errorf("%s: %w", at.what, err)
 		}
 	}
+	if c.Console != "" {
+		if _, err := netip.ParseAddrPort(c.Console); err != nil {
+			return nil, fmt.Errorf("console: %w", err)
+		}
+	}
 	if err := c.peers(&f); err != nil {
 		return nil, err
 	}
@@ -183,5 +191,5 @@
 
 // Reducer is the part of the configuration that the reducer needs.
 func (c *Config) Reducer() reducer.Config {
-	return reducer.Config{Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known, Discovery: c.Discovery}
+	return reducer.Config{Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known, Discovery: c.Discovery, Publishes: c.Console != ""}
 }
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -67,6 +67,7 @@
 type Pool struct {
 	opt   Options
 	conns atomic.Int64
+	wrote atomic.Uint64 // fetches written whole
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -102,6 +103,9 @@
 // Conns tells how many connections to backends are open.
 func (p *Pool) Conns() int { return int(p.conns.Load()) }
 
+// Wrote tells how many fetches were written to backends whole.
+func (p *Pool) Wrote() uint64 { return p.wrote.Load() }
+
 // Start begins a fetch. Its outcome is posted, unless Stop comes first.
 func (p *Pool) Start(e reducer.StartFetch) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -309,7 +313,11 @@
 			late.Stop()
 			return nil
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { f.wrote.Store(info.Err == nil) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if f.wrote.Store(info.Err == nil); info.Err == nil {
+				p.wrote.Add(1)
+			}
+		},
 	})
 	in := e.Content.(*Req)
 	resp, err := f.backend.transport.RoundTrip(request(ctx, in, e))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"lemongate/internal/config"
+	"lemongate/internal/console"
 	"lemongate/internal/discovery"
 	"lemongate/internal/fetch"
 	"lemongate/internal/front"
@@ -63,6 +64,7 @@
 	fetches *fetch.Pool
 	peers   *peer.Link // nil where there are none
 	watcher *discovery.Watcher
+	console *console.Console // nil where none is wanted
 	load    func() (*config.Config, error)
 	timer   *time.Timer
 	exit    bool
@@ -136,6 +138,10 @@
 		Settings: c.Settings.Settings, MostUnits: c.Settings.MostUnits, Sessions: int(sockets * frontPart),
 		Now: n.clock.Now, Post: n.post, Log: n.log,
 	})
+	if c.Console != "" {
+		n.console = console.New(n.fetches.Wrote, n.log)
+		go n.console.Serve(c.Console)
+	}
 	var effects []reducer.Effect
 	n.reducer, effects = reducer.New(n.clock.Now(), c.Reducer())
 	n.carryOut(effects)
@@ -163,6 +169,9 @@
 	n.cancel()
 	n.edges.Wait()
 	n.fetches.Close()
+	if n.console != nil {
+		n.console.Close()
+	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
@@ -213,6 +222,11 @@
 			n.timer.Reset(e.At - n.clock.Now())
 		case reducer.Ready:
 			n.front.Ready(e.Is)
+			if n.console != nil {
+				n.console.Ready(e.Is)
+			}
+		case reducer.Publish:
+			n.console.Publish(e.Figures)
 		case reducer.EndSessions:
 			n.front.EndSessions()
 		case reducer.CloseFront:
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -46,6 +46,7 @@
 	Known    []Entry // the backends as last known; may be old
 
 	Discovery string // where the list of backends is watched
+	Publishes bool   // somebody wants the figures
 }
 
 // A Reducer is the state of the program. It is not safe for concurrent use.
@@ -65,15 +66,22 @@
 	wakes    map[string]time.Duration // the Gateway's, by token
 	setAt    time.Duration            // the SetTimer that stands
 	count    Counters
+	lanes    []Lane // by the classes of the settings
+	pending  int    // reqs without an answer
 	out      []Effect
 	actions  []lemongate.Action
 	backlog  []lemongate.Event // for the Gateway, after the one it handles
+
+	publishes  bool
+	published  time.Duration
+	publishing bool // a timer stands for what changed since
 }
 
 // A req is one that was taken in and is not over or has a fetch out.
 type req struct {
 	id       ReqID
 	callID   string
+	class    int // in the settings, -1 for none of them
 	effect   lemongate.Effect
 	deadline time.Duration
 	content  Content
@@ -95,7 +103,10 @@
 	r := &Reducer{
 		set: c.Settings, gate: lemongate.New(c.Settings, c.Seed), now: now, setAt: math.MaxInt64,
 		reqs: map[ReqID]*req{}, calls: map[string]ReqID{}, fetches: map[FetchID]*fetch{}, backends: map[string]*Entry{},
-		wakes: map[string]time.Duration{}, source: c.Discovery,
+		wakes: map[string]time.Duration{}, source: c.Discovery, publishes: c.Publishes, published: now - figuresEvery,
+	}
+	for _, class := range c.Settings.Classes {
+		r.lanes = append(r.lanes, Lane{Class: class.Name})
 	}
 	settle := settleWithin
 	if len(c.Known) > 0 {
@@ -114,11 +125,7 @@
 	c := r.count
 	c.OpenFetches, c.Quota = len(r.fetches), r.gate.Quota()
 	c.Turned = r.gate.Turned()
-	for _, q := range r.reqs {
-		if !q.answered {
-			c.OpenReqs++
-		}
-	}
+	c.OpenReqs = r.pending
 	for _, b := range r.backends {
 		if b.State == lemongate.Live {
 			c.LiveBackends++
@@ -170,6 +177,7 @@
 		r.enter(Stopped)
 	}
 	r.elapse()
+	r.publish()
 	return r.finish()
 }
 
@@ -218,6 +226,8 @@
 			r.enter(Serving)
 		case graceTimer:
 			r.enter(Closing)
+		case figuresTimer: // publish sees to it, after all that is due
+			r.publishing = false
 		}
 	}
 }
@@ -277,10 +287,11 @@
 		r.calls[ev.CallID] = ev.ID
 	}
 	r.count.Received++
-	q := &req{id: ev.ID, callID: ev.CallID, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content}
+	r.pending++
+	q := &req{id: ev.ID, callID: ev.CallID, class: -1, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content}
 	for i := range r.set.Classes {
 		if r.set.Classes[i].Name == ev.Class {
-			q.effect = r.set.Classes[i].Effect
+			q.class, q.effect = i, r.set.Classes[i].Effect
 		}
 	}
 	r.reqs[ev.ID] = q
@@ -294,6 +305,7 @@
 func (r *Reducer) left(id ReqID) {
 	if q := r.reqs[id]; q != nil && !q.answered {
 		r.count.Left++
+		r.pending--
 		q.answered = true
 		r.tell(&lemongate.Gone{Request: id})
 		r.forget(q)
@@ -322,6 +334,8 @@
 		return
 	}
 	q.answered = true
+	r.pending--
+	r.ended(q.class, a.Kind)
 	a.Req = q.id
 	switch a.Kind {
 	case Served:
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -286,3 +286,43 @@
 		}
 	}
 }
+
+// The figures count each end under its class, tell the last change though nothing comes
+// after it, and cost an idle program no wake-up.
+func TestFigures(t *testing.T) {
+	r, first := New(time.Hour, Config{
+		Settings: testSettings, Seed: 1, Publishes: true,
+		Known: []Entry{entry("b1", "h:1", lemongate.Live, 0), entry("b2", "h:2", lemongate.Draining, 0)},
+	})
+	now := time.Hour
+	last := func(effects []Effect) *Figures {
+		if p := only[Publish](effects); len(p) > 0 {
+			return &p[len(p)-1].Figures
+		}
+		return nil
+	}
+	if f := last(r.Step(now, &Listed{Kind: lemongate.ListChanges})); f == nil || f.Members != 2 || f.Unavailable != 1 {
+		t.Errorf("at first: %+v, %v", f, first)
+	}
+	ev := read(1, now, time.Second)
+	sent := only[StartFetch](r.Step(now, ev))
+	if len(sent) != 1 {
+		t.Fatal("not sent")
+	}
+	r.Step(now, read(2, now, time.Second))
+	r.Step(now+time.Millisecond, &FetchEnded{Fetch: sent[0].Fetch, Result: lemongate.Done, Reply: "x"})
+	var f *Figures
+	for at := now; at <= now+figuresEvery; at += time.Millisecond {
+		if got := last(r.Step(at, Ticked{})); got != nil && f == nil {
+			f = got
+		}
+	}
+	if f == nil || f.Pending != 1 || f.Lanes[0] != (Lane{Class: "read", Completed: 1}) {
+		t.Errorf("a little later: %+v", f)
+	}
+	r.Step(now+2*time.Second, Ticked{}) // the other one is overdue
+	r.Step(now+4*time.Second, Ticked{})
+	if got := r.figures(); got.Pending != 0 || got.Lanes[0].Completed+got.Lanes[0].Rejected != 2 {
+		t.Errorf("at the end: %+v", got)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -596,6 +596,12 @@
 // Turned counts what this gateway turned away.
 func (g *Gateway) Turned() Turned { return g.turned }
 
+// Avoids tells whether a backend is left alone now but for trials.
+func (g *Gateway) Avoids(id string) bool {
+	b := g.known[id]
+	return b == nil || b.gone || b.ejected()
+}
+
 // Quota counts what became of rights on customers' stores.
 func (g *Gateway) Quota() quota.Counters {
 	if g.ledger == nil {
