--- a/api.go
+++ b/api.go
@@ -119,7 +119,8 @@
 )
 
 // An Event is something that happened at the front door: one of *List,
-// *Request, *Outcome, *Timer, *Gone, *PeerMessage, *ProbeResult, *Started and Leaving.
+// *Request, *Outcome, *Timer, *Gone, *PeerMessage, *ProbeResult, *Started, Leaving, *Adopted
+// and Renewed.
 type Event interface{ event() }
 
 // A List brings news of the backends.
@@ -298,6 +299,10 @@
 		g.hear(ev)
 	case Leaving:
 		g.leave()
+	case *Adopted:
+		g.adopt(ev)
+	case Renewed:
+		g.renew(ev.Epoch)
 	case *Gone:
 		if r := g.requests[ev.Request]; r != nil {
 			g.over(r)
--- a/cmd/lemongate/main.go
+++ b/cmd/lemongate/main.go
@@ -38,15 +38,21 @@
 	level := &cli.StringFlag{
 		Name: "log-level", Value: "info", Usage: "least level of the log lines: debug, info, warn or error",
 	}
+	operator := &cli.StringFlag{
+		Name: "operator", Usage: "JSON `FILE` of the operators: what is off without it, see docs/operators",
+	}
 	return &cli.Command{
 		Name:  "lemongate",
 		Usage: "share sending among request classes and hold quotas over all limiters",
 		Commands: []*cli.Command{
 			{
 				Name: "serve", Usage: "serve until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters",
-				Flags: []cli.Flag{level}, Action: serve,
+				Flags: []cli.Flag{level, operator}, Action: serve,
+			},
+			{
+				Name: "check", Usage: "read the configuration, tell what it says, and exit",
+				Flags: []cli.Flag{operator}, Action: check,
 			},
-			{Name: "check", Usage: "read the configuration, tell what it says, and exit", Action: check},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
@@ -68,20 +74,24 @@
 	if err != nil {
 		return err
 	}
-	limit(c.Limits)
+	if err := c.Operator(cmd.String("operator")); err != nil {
+		return err
+	}
+	limit(c.Limits, 1)
 	return node.Run(c, clock, log, node.Controls{
 		Dump: dump, Stop: stop, Reload: reload,
-		Load: func() (*config.Config, error) { return config.Reload(os.Getenv, clock.Zero()) },
+		Share: func(part float64) { limit(c.Limits, part) },
+		Load:  func() (*config.Config, error) { return config.Reload(os.Getenv, clock.Zero()) },
 	})
 }
 
-// limit keeps the runtime within what the platform gives.
-func limit(l config.Limits) {
+// limit keeps the runtime within a part of what the platform gives.
+func limit(l config.Limits, part float64) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(max(int(l.Cores), 1))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(l.MemoryMB<<20) * memoryPart))
+		debug.SetMemoryLimit(int64(float64(l.MemoryMB<<20) * memoryPart * part))
 	}
 }
 
@@ -106,6 +116,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.Operator(cmd.String("operator")); err != nil {
+		return err
+	}
 	fmt.Fprintf(cmd.Root().Writer, "%s: limiter %d of %d, %d classes, %d plans, %d known backends\n",
 		c.Name, c.Settings.Self, c.Settings.Gateways, len(c.Settings.Classes), len(c.Settings.Plans), len(c.Known))
 	return nil
--- a/cmd/lemongate/main_test.go
+++ b/cmd/lemongate/main_test.go
@@ -62,7 +62,7 @@
 		runtime.GOMAXPROCS(procs)
 		debug.SetMemoryLimit(memory)
 	}()
-	limit(config.Limits{Cores: 1.5, MemoryMB: 200})
+	limit(config.Limits{Cores: 1.5, MemoryMB: 200}, 1)
 	if p, m := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); p != 1 || m != 140<<20 {
 		t.Errorf("%d procs, %d bytes", p, m)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,8 @@
 	Peers      []netip.AddrPort // by the limiters' numbers
 	PeersAll   netip.AddrPort   // reaches all of them
 
+	Takeover *Takeover // nil for none
+
 	Known      []reducer.Entry // the backends as last known
 	Generation int64           // of that list
 	Settings   wire.Settings
@@ -191,5 +193,8 @@
 
 // Reducer is the part of the configuration that the reducer needs.
 func (c *Config) Reducer() reducer.Config {
-	return reducer.Config{Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known, Discovery: c.Discovery, Publishes: c.Console != ""}
+	return reducer.Config{
+		Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known, Discovery: c.Discovery, Publishes: c.Console != "",
+		Generation: c.Generation, Takeover: c.Takeover.limits(), Epoch: c.Settings.Epoch,
+	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -74,7 +74,7 @@
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(data, &m); err != nil {
 		return nil, 0, fmt.Errorf("list of backends: bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 	}
-	list = &reducer.Listed{Kind: lemongate.ListChanges}
+	list = &reducer.Listed{Kind: lemongate.ListChanges, Generation: m.Generation}
 	if m.Reset {
 		list.Kind = lemongate.ListFull
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -26,7 +26,7 @@
 // zero is long ago.
 func TestDecode(t *testing.T) {
 	list, generation, err := Decode([]byte(listText), time.UnixMilli(1_000_000))
-	want := &reducer.Listed{Kind: lemongate.ListFull, Entries: []reducer.Entry{
+	want := &reducer.Listed{Kind: lemongate.ListFull, Generation: 41, Entries: []reducer.Entry{
 		{Addr: "127.0.0.1:8443", Backend: lemongate.Backend{ID: "s-1", Zone: "a", Cell: 3, Size: 1.5}},
 		{Addr: "127.0.0.1:8444", Backend: lemongate.Backend{
 			ID: "s-2", Zone: "b", Cell: 4, State: lemongate.Draining, Size: 1, Started: 500 * time.Millisecond,
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -68,6 +68,7 @@
 	opt   Options
 	conns atomic.Int64
 	wrote atomic.Uint64 // fetches written whole
+	most  atomic.Int64  // connections to all backends together; 0 for no bound
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -97,9 +98,15 @@
 	if opt.AnswerWithin <= 0 {
 		opt.AnswerWithin = answerWithin
 	}
-	return &Pool{opt: opt, backends: map[string]*backend{}, fetches: map[reducer.FetchID]*fetch{}}
+	p := &Pool{opt: opt, backends: map[string]*backend{}, fetches: map[reducer.FetchID]*fetch{}}
+	p.Share(1)
+	return p
 }
 
+// Share sets which part of the connections allowed may be open, while another process has the
+// rest. Those that are open stay.
+func (p *Pool) Share(part float64) { p.most.Store(int64(math.Ceil(float64(p.opt.MostConns) * part))) }
+
 // Conns tells how many connections to backends are open.
 func (p *Pool) Conns() int { return int(p.conns.Load()) }
 
@@ -207,7 +214,7 @@
 // reserve counts a connection in. At the bound, spare ones make room: they
 // were left by other fetches, and this one cannot wait.
 func (p *Pool) reserve() bool {
-	most := int64(p.opt.MostConns)
+	most := p.most.Load()
 	if n := p.conns.Add(1); most <= 0 || n <= most {
 		return true
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,7 @@
 	Settings  lemongate.Settings
 	MostUnits float64 // of one req; 0 for no bound
 	Sessions  int     // client sessions open at once; 0 for no bound
+	Last      uint64  // number that a process before this one gave a req at most
 	Now       func() time.Duration
 	Wall      func() time.Time // overrides the time by which client sessions are closed
 	Post      func(reducer.Event)
@@ -56,6 +58,8 @@
 	last    atomic.Uint64 // ReqID given
 
 	sessions atomic.Pointer[sessions] // once it serves
+	serves   chan struct{}            // closed then
+	part     float64                  // of the client sessions allowed; guarded by mu
 
 	mu      sync.Mutex
 	waiting map[reducer.ReqID]chan reducer.Answer
@@ -68,7 +72,7 @@
 	}
 	f := &Front{
 		opt: opt, classes: map[string]*lemongate.Class{}, plans: map[string]bool{},
-		waiting: map[reducer.ReqID]chan reducer.Answer{},
+		waiting: map[reducer.ReqID]chan reducer.Answer{}, serves: make(chan struct{}), part: 1,
 	}
 	for i, c := range opt.Settings.Classes {
 		f.classes[c.Name] = &opt.Settings.Classes[i]
@@ -76,6 +80,7 @@
 	for _, p := range opt.Settings.Plans {
 		f.plans[p.Name] = true
 	}
+	f.last.Store(opt.Last)
 	// The handler stands alone: a ServeMux would redirect unclean paths. The
 	// time to read a head ends with it; a time to read the whole req would run
 	// on while the req waits for its answer, and its end looks like a client
@@ -87,7 +92,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, sessionKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateIdle {
-				c.(*session).enter(idle)
+				c.(*session).rest()
 			}
 		},
 	}
@@ -104,7 +109,11 @@
 	l := newSessions(listener, f.opt.Sessions, f.opt.Wall, func(was sessionState) {
 		f.opt.Post(&reducer.SessionClosed{Unread: was == silent || was == reading})
 	})
+	f.mu.Lock()
+	l.share(f.part)
 	f.sessions.Store(l)
+	f.mu.Unlock()
+	close(f.serves)
 	go l.keepSweeping()
 	defer l.Close()
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -113,6 +122,62 @@
 	return nil
 }
 
+// Adopt serves a client session that another process gave away between reqs.
+func (f *Front) Adopt(c net.Conn) {
+	<-f.serves
+	l := f.sessions.Load()
+	if s := l.admit(c, idle); s != nil {
+		o := &one{Conn: s, addr: l.Addr()}
+		f.server.Serve(o)
+		o.Do(func() { s.Close() }) // the front has shut down
+	}
+}
+
+// one is a listener that one client comes to.
+type one struct {
+	net.Conn
+	addr net.Addr
+	sync.Once
+}
+
+func (o *one) Accept() (c net.Conn, err error) {
+	err = net.ErrClosed
+	o.Do(func() { c, err = o.Conn, nil })
+	return c, err
+}
+
+func (o *one) Close() error   { return nil } // of the listener: the session goes on
+func (o *one) Addr() net.Addr { return o.addr }
+
+// Pause ends accepting until Resume.
+func (f *Front) Pause() {
+	<-f.serves
+	f.sessions.Load().pause()
+}
+
+// Resume goes on accepting, and keeps the client sessions here.
+func (f *Front) Resume() {
+	<-f.serves
+	f.sessions.Load().resume()
+}
+
+// Move has client sessions between reqs given away, now and as they get there. Give returns
+// once the session may be closed here.
+func (f *Front) Move(give func(syscall.Conn) error) {
+	<-f.serves
+	f.sessions.Load().move(give)
+}
+
+// Share sets which part of the client sessions allowed may be open.
+func (f *Front) Share(part float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.part = part
+	if l := f.sessions.Load(); l != nil {
+		l.share(part)
+	}
+}
+
 // Sessions tells how many client sessions are open.
 func (f *Front) Sessions() int {
 	if l := f.sessions.Load(); l != nil {
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -2,8 +2,12 @@
 
 import (
 	"container/list"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +56,7 @@
 	place *list.Element // in the list of its state
 
 	begun time.Time // when the req that is coming in began to
+	ahead bool      // a byte was read beside an open req: the next one's
 }
 
 // sessions accepts client sessions and knows what each is doing. It takes the
@@ -69,42 +74,136 @@
 	open   int
 	stop   chan struct{}
 	closer sync.Once
+	part   float64       // of most, while another process has the rest
+	paused chan struct{} // closed when accepting goes on; nil while it does
+
+	// give hands a session between reqs to another process; nil while they stay.
+	give func(syscall.Conn) error
 }
 
 func newSessions(l net.Listener, most int, now func() time.Time, onClose func(sessionState)) *sessions {
-	return &sessions{Listener: l, most: most, now: now, onClose: onClose, stop: make(chan struct{})}
+	return &sessions{Listener: l, most: most, now: now, onClose: onClose, stop: make(chan struct{}), part: 1}
 }
 
 // Accept takes the next client in, and closes a session for it if need be.
 func (a *sessions) Accept() (net.Conn, error) {
 	for {
 		c, err := a.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			a.mu.Lock()
+			paused := a.paused
+			a.mu.Unlock()
+			if paused != nil {
+				select {
+				case <-paused:
+				case <-a.stop:
+				}
+			}
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
-		a.mu.Lock()
-		var out *session
-		full := a.most > 0 && a.open >= a.most
-		if full {
-			out = a.victim()
+		if s := a.admit(c, silent); s != nil {
+			return s, nil
 		}
-		if full && out == nil { // all have reqs open: the newcomer is told so by a close
-			a.mu.Unlock()
-			c.Close()
-			a.onClose(silent)
-			continue
-		}
-		s := &session{Conn: c, all: a, since: a.now(), begun: a.now()}
-		s.place = a.lists[silent].PushBack(s)
-		a.open++
+	}
+}
+
+// admit makes a connection a session, and closes another for it if need be; nil where there
+// is no room for it.
+func (a *sessions) admit(c net.Conn, state sessionState) *session {
+	a.mu.Lock()
+	var out *session
+	full := a.most > 0 && a.open >= a.bound()
+	if full {
+		out = a.victim()
+	}
+	if full && out == nil { // all have reqs open: the newcomer is told so by a close
 		a.mu.Unlock()
-		if out != nil {
-			out.end()
+		c.Close()
+		a.onClose(silent)
+		return nil
+	}
+	s := &session{Conn: c, all: a, state: state, since: a.now(), begun: a.now()}
+	s.place = a.lists[state].PushBack(s)
+	a.open++
+	a.mu.Unlock()
+	if out != nil {
+		out.end()
+	}
+	return s
+}
+
+// bound is how many sessions may be open now. a.mu is held.
+func (a *sessions) bound() int { return max(int(float64(a.most)*a.part), 1) }
+
+// share sets which part of the bound may be used.
+func (a *sessions) share(part float64) {
+	a.mu.Lock()
+	a.part = part
+	a.mu.Unlock()
+}
+
+// deadliner is a listener whose Accept can be called back.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// pause ends accepting until resume. What comes meanwhile waits in the system's queue.
+func (a *sessions) pause() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l, ok := a.Listener.(deadliner); ok && a.paused == nil {
+		a.paused = make(chan struct{})
+		l.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// resume goes on accepting, and keeps the sessions here.
+func (a *sessions) resume() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.give = nil
+	if a.paused != nil {
+		a.Listener.(deadliner).SetDeadline(time.Time{})
+		close(a.paused)
+		a.paused = nil
+	}
+}
+
+// move has sessions between reqs given to another process from now on. One that waits for its
+// next req is called back from its read.
+func (a *sessions) move(give func(syscall.Conn) error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.give = give
+	for _, state := range []sessionState{idle, silent} {
+		for e := a.lists[state].Front(); e != nil; e = e.Next() {
+			e.Value.(*session).Conn.SetReadDeadline(time.Unix(1, 0))
 		}
-		return s, nil
 	}
 }
 
+// leaves hands the session over if it is to move and nothing of a req has come, and tells
+// whether it has.
+func (s *session) leaves() bool {
+	s.all.mu.Lock()
+	give := s.all.give
+	c, ok := s.Conn.(syscall.Conn)
+	if give == nil || !ok || s.state != idle && s.state != silent {
+		s.all.mu.Unlock()
+		return false
+	}
+	s.move(ending) // nobody closes it for another meanwhile
+	s.all.mu.Unlock()
+	if err := give(c); err != nil {
+		s.enter(idle)
+		s.Conn.SetReadDeadline(time.Time{})
+		return false
+	}
+	s.enter(closed)
+	return true
+}
+
 // Close ends accepting and sweeping; open sessions go on.
 func (a *sessions) Close() error {
 	a.closer.Do(func() { close(a.stop) })
@@ -148,7 +247,7 @@
 	for {
 		a.mu.Lock()
 		var out *session
-		if a.most > 0 && float64(a.open) > crowdedPart*float64(a.most) {
+		if a.most > 0 && float64(a.open) > crowdedPart*float64(a.bound()) {
 			out = a.oldest(idle, idleAtLeast)
 		}
 		a.mu.Unlock()
@@ -220,9 +319,18 @@
 
 // Read notes that a req has begun to come.
 func (s *session) Read(p []byte) (int, error) {
+	if s.leaves() {
+		return 0, io.EOF // closed here, open there
+	}
 	n, err := s.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if s.leaves() {
+			return 0, io.EOF
+		}
+	}
 	if n > 0 {
 		s.all.mu.Lock()
+		s.ahead = s.state == busy
 		if s.state == idle {
 			s.begun = s.all.now() // a session's first req counts from its start
 		}
@@ -234,6 +342,18 @@
 	return n, err
 }
 
+// rest tells that a req is over and the next may come, or has begun to.
+func (s *session) rest() {
+	s.all.mu.Lock()
+	defer s.all.mu.Unlock()
+	if s.ahead {
+		s.ahead, s.begun = false, s.all.now()
+		s.move(reading)
+		return
+	}
+	s.move(idle)
+}
+
 // Write bounds the time that a client takes to read: one that does not would
 // hold its session and the answer's memory for good.
 func (s *session) Write(p []byte) (int, error) {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -4,7 +4,6 @@
 package experiment
 
 import (
-	"bytes"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -16,11 +15,8 @@
 	"strings"
 	"sync"
 
-	"github.com/santhosh-tekuri/jsonschema/v6"
-	"golang.org/x/text/language"
-	"golang.org/x/text/message"
-
 	"lemongate/internal/lab/sim"
+	"lemongate/internal/schema"
 )
 
 // Schema is the JSON schema of an experiment.
@@ -58,7 +54,7 @@
 
 // Parse reads an experiment. The error names the field that is wrong.
 func Parse(data []byte) (*Experiment, error) {
-	if err := validate(data); err != nil {
+	if err := schema.Validate("experiment.schema.json", Schema, data); err != nil {
 		return nil, err
 	}
 	var x Experiment
@@ -89,37 +85,6 @@
 	return &x, nil
 }
 
-// validate holds the data against the schema.
-func validate(data []byte) error {
-	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema))
-	if err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	c := jsonschema.NewCompiler()
-	if err := c.AddResource("experiment.schema.json", schema); err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	compiled, err := c.Compile("experiment.schema.json")
-	if err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
-	if err != nil {
-		return fmt.Errorf("bad JSON: %w", err)
-	}
-	var invalid *jsonschema.ValidationError
-	if err := compiled.Validate(value); errors.As(err, &invalid) {
-		for len(invalid.Causes) > 0 {
-			invalid = invalid.Causes[0]
-		}
-		what := invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English))
-		return fmt.Errorf("/%s: %s", strings.Join(invalid.InstanceLocation, "/"), what)
-	} else if err != nil {
-		return err
-	}
-	return nil
-}
-
 func (b Bound) check(known map[string]float64) error {
 	if _, ok := known[b.Measure]; !ok {
 		return fmt.Errorf("measure: no measure %q", b.Measure)
--- /dev/null
+++ b/internal/node/kin.go
@@ -0,0 +1,393 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"go.uber.org/zap"
+
+	"lemongate/internal/fetch"
+	"lemongate/internal/handover"
+	"lemongate/internal/handover/link"
+	"lemongate/internal/peer"
+	"lemongate/internal/reducer"
+)
+
+// This file carries a takeover's events and effects over the link to the other process, see
+// internal/handover. What is said goes as JSON, so that versions that know more fields than
+// others understand each other.
+
+// format is of the frames. A process that says another is turned away, and waits until the
+// address is free.
+const format = 1
+
+// Frames beside those that the machine speaks of.
+const (
+	frameBegan uint8 = uint8(handover.NKinds) + iota
+	frameEnded
+	frameRelay
+	frameGave
+	frameReply
+	frameSession
+)
+
+var codec = jsoniter.Config{CaseSensitive: true}.Froze()
+
+// hello is what a successor says first.
+type hello struct {
+	Format       int
+	Name, Listen string
+	Peers        string
+}
+
+func (n *Node) hello() hello {
+	return hello{Format: format, Name: n.conf.Name, Listen: n.conf.Listen, Peers: n.conf.PeerListen.String()}
+}
+
+// unfit says why a successor is none of this process, or nothing.
+func (h hello) unfit(mine hello) string {
+	switch {
+	case h.Format != mine.Format:
+		return fmt.Sprintf("speaks format %d, not %d", h.Format, mine.Format)
+	case h != mine:
+		return "is another limiter, or listens elsewhere"
+	}
+	return ""
+}
+
+// Contents of the frames, whose Content has a type of its own here.
+type (
+	relayFrame struct {
+		reducer.Relayed
+		Content *fetch.Req
+	}
+	replyFrame struct {
+		reducer.Answer
+		Reply *fetch.Reply
+	}
+)
+
+// kin is what a node has of the other process.
+type kin struct {
+	path string
+	link *link.Conn // the one that counts
+	l    *link.Listener
+}
+
+func (k *kin) close() {
+	if k.l != nil {
+		k.l.Close()
+	}
+	if k.link != nil {
+		k.link.Close()
+	}
+}
+
+// kinEvent is an event that came over a link; where that does not count any longer, neither
+// does the event.
+type kinEvent struct {
+	reducer.Event
+	from *link.Conn
+}
+
+// unwrap takes the wrapping off an event, and tells whether it counts.
+func (n *Node) unwrap(ev reducer.Event) (reducer.Event, bool) {
+	k, ok := ev.(kinEvent)
+	if !ok {
+		return ev, true
+	}
+	if k.from != n.kin.link {
+		if h, ok := k.Event.(*reducer.KinHeard); ok && h.Sockets != nil {
+			closeAll(h.Sockets.([]*os.File))
+		}
+		return nil, false
+	}
+	if _, gone := k.Event.(reducer.KinGone); gone {
+		n.kin.link = nil
+	}
+	return k.Event, true
+}
+
+func closeAll(files []*os.File) {
+	for _, f := range files {
+		f.Close()
+	}
+}
+
+func (n *Node) carryOutKin(e reducer.Effect) {
+	switch e := e.(type) {
+	case reducer.KinSeek:
+		n.seek()
+	case reducer.KinAccept:
+		n.kin.link = e.Link.(*link.Conn)
+	case reducer.KinDeny:
+		c := e.Link.(*link.Conn)
+		n.log.Info("successor turned away", zap.Int("pid", c.PID()), zap.String("why", e.Why))
+		c.Send(uint8(handover.Deny), []byte(e.Why))
+		c.Hang()
+	case reducer.KinSend:
+		n.say(uint8(e.Kind), nil)
+	case reducer.KinTransfer:
+		n.transfer(e.Inherit)
+	case reducer.KinHang:
+		if n.kin.link != nil {
+			n.kin.link.Hang()
+			n.kin.link = nil
+		}
+	case reducer.KinFence:
+		n.kin.link.Kill()
+	case reducer.KinBegan:
+		n.say(frameBegan, e.Began)
+	case reducer.KinEnded:
+		n.say(frameEnded, e.Ended)
+	case reducer.KinRelay:
+		content, _ := e.Content.(*fetch.Req)
+		e.Relayed.Content = nil
+		n.say(frameRelay, relayFrame{Relayed: e.Relayed, Content: content})
+	case reducer.KinGave:
+		n.say(frameGave, e.Req)
+	case reducer.KinReply:
+		reply, _ := e.Answer.Reply.(*fetch.Reply)
+		e.Answer.Reply = nil
+		n.say(frameReply, replyFrame{Answer: e.Answer, Reply: reply})
+	case reducer.Open:
+		if err := n.start(e.Wait); err != nil {
+			n.fail(err)
+		}
+	case reducer.TakeOver:
+		if err := n.takeOver(e); err != nil {
+			n.fail(fmt.Errorf("takeover: %w", err))
+		}
+	case reducer.Pause:
+		n.front.Pause()
+		if n.peers != nil {
+			n.peers.Pause()
+		}
+	case reducer.Unpause:
+		n.front.Resume()
+		if n.peers != nil {
+			n.peers.Resume()
+		}
+	case reducer.MoveSessions:
+		to := n.kin.link
+		n.front.Move(func(c syscall.Conn) error { return to.Give(frameSession, nil, c) })
+	case reducer.Takes:
+		if n.console != nil {
+			n.console.Ready(e.Is)
+		}
+	case reducer.Share:
+		n.fetches.Share(e.Part)
+		if n.front != nil {
+			n.front.Share(e.Part)
+		}
+		if n.share != nil {
+			n.share(e.Part)
+		}
+	case reducer.Await:
+		n.await()
+	case reducer.Quit:
+		n.fail(errors.New(e.Why))
+	}
+}
+
+// fail ends the program.
+func (n *Node) fail(err error) {
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+// say sends a frame. One that cannot be sent is on a stream that has ended, which is told by
+// its reader.
+func (n *Node) say(kind uint8, body any) {
+	if n.kin.link == nil {
+		return
+	}
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = codec.Marshal(body); err != nil {
+			n.log.Error("takeover", zap.Uint8("frame", kind), zap.Error(err))
+			return
+		}
+	}
+	n.kin.link.Send(kind, data)
+}
+
+// seek connects to the process that runs, if there is one, and says Hello.
+func (n *Node) seek() {
+	n.kin.path = n.conf.Takeover.Path(n.conf.Name)
+	c, err := link.Dial(n.kin.path)
+	if err != nil {
+		n.log.Debug("no process to take over from", zap.Error(err))
+		go n.post(kinEvent{reducer.KinGone{Epoch: epoch()}, nil}) // the loop may be in this very call
+		return
+	}
+	n.log.Info("takes over", zap.Int("from", c.PID()))
+	n.kin.link = c
+	n.say(uint8(handover.Hello), n.hello())
+	go n.follow(c)
+}
+
+// epoch is what a start now would have, see config.
+func epoch() uint32 { return uint32(time.Now().UnixMilli()) }
+
+// await lets successors find this process. Where there are no Unix sockets none will.
+func (n *Node) await() {
+	if n.conf.Takeover == nil || n.kin.l != nil {
+		return
+	}
+	l, err := link.Listen(n.kin.path)
+	if err != nil {
+		n.log.Info("no successor can take over", zap.Error(err))
+		return
+	}
+	n.kin.l = l
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go n.meet(c)
+		}
+	}()
+}
+
+// meet hears who comes.
+func (n *Node) meet(c *link.Conn) {
+	f, err := c.Read()
+	var who hello
+	if err != nil || f.Kind != uint8(handover.Hello) || codec.Unmarshal(f.Body, &who) != nil {
+		c.Close()
+		return
+	}
+	n.post(&reducer.KinMet{Link: c, Why: who.unfit(n.hello())})
+	n.follow(c)
+}
+
+// follow posts what the other process says until the stream ends.
+func (n *Node) follow(c *link.Conn) {
+	for {
+		f, err := c.Read()
+		if err != nil {
+			n.post(kinEvent{reducer.KinGone{Epoch: epoch()}, c})
+			c.Close()
+			return
+		}
+		ev, err := decode(f)
+		if err != nil {
+			n.log.Error("takeover", zap.Uint8("frame", f.Kind), zap.Error(err))
+			closeAll(f.Sockets)
+			continue
+		}
+		if f.Kind == frameSession {
+			n.adopt(f.Sockets)
+			continue
+		}
+		n.post(kinEvent{ev, c})
+	}
+}
+
+// decode words a frame as an event.
+func decode(f link.Frame) (ev reducer.Event, err error) {
+	switch f.Kind {
+	case uint8(handover.Transfer):
+		e := &reducer.KinHeard{Kind: handover.Transfer, Inherit: &reducer.Inherit{}, Sockets: f.Sockets}
+		if codec.Unmarshal(f.Body, e.Inherit) != nil {
+			e.Inherit = nil
+		}
+		return e, nil
+	case frameBegan:
+		e := &reducer.KinOut{}
+		return e, codec.Unmarshal(f.Body, &e.Began)
+	case frameEnded:
+		e := &reducer.KinOver{}
+		return e, codec.Unmarshal(f.Body, &e.Ended)
+	case frameRelay:
+		var x relayFrame
+		err := codec.Unmarshal(f.Body, &x)
+		x.Relayed.Content = x.Content
+		return &reducer.KinAsked{Relayed: x.Relayed}, err
+	case frameGave:
+		var e reducer.KinLeft
+		return e, codec.Unmarshal(f.Body, &e.Req)
+	case frameReply:
+		var x replyFrame
+		err := codec.Unmarshal(f.Body, &x)
+		if x.Answer.Reply = x.Reply; x.Reply == nil && x.Kind == reducer.Served {
+			err = errors.Join(err, errors.New("an answer without content"))
+		}
+		return &reducer.KinAnswered{Answer: x.Answer}, err
+	case frameSession:
+		return nil, nil
+	}
+	if f.Kind >= uint8(handover.NKinds) {
+		return nil, errors.New("unknown")
+	}
+	return &reducer.KinHeard{Kind: handover.Kind(f.Kind)}, nil
+}
+
+// transfer sends the state, the clients' listener and the peers' socket.
+func (n *Node) transfer(x reducer.Inherit) {
+	body, err := codec.Marshal(x)
+	if err != nil {
+		n.log.Error("takeover", zap.Error(err))
+	}
+	sockets := []syscall.Conn{n.listener.(syscall.Conn)}
+	if n.peers != nil {
+		sockets = append(sockets, n.peers.Socket())
+	}
+	n.kin.link.Send(uint8(handover.Transfer), body, sockets...)
+}
+
+// takeOver serves on what the elder sent.
+func (n *Node) takeOver(e reducer.TakeOver) error {
+	files, _ := e.Sockets.([]*os.File)
+	defer closeAll(files)
+	if len(files) == 0 {
+		return errors.New("no listener came")
+	}
+	l, err := net.FileListener(files[0])
+	if err != nil {
+		return err
+	}
+	if len(files) > 1 && n.conf.PeerListen.IsValid() {
+		c, err := net.FilePacketConn(files[1])
+		if err != nil {
+			l.Close()
+			return err
+		}
+		n.peers = peer.On(c.(*net.UDPConn), n.conf.Peers, n.conf.PeersAll, n.post, n.log)
+	}
+	n.clock = clockAt(e.Now)
+	n.serve(l, e.Last, e.Source, e.Generation)
+	n.front.Share(0.5)
+	return nil
+}
+
+// adopt serves client sessions that the elder gave away.
+func (n *Node) adopt(files []*os.File) {
+	for _, f := range files {
+		c, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			n.log.Warn("client session", zap.Error(err))
+			continue
+		}
+		go func() {
+			select {
+			case <-n.serving:
+				n.front.Adopt(c)
+			case <-n.done:
+				c.Close()
+			}
+		}()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +34,9 @@
 	// Spare connections that all limiters together keep at a backend, where one each is
 	// not more: it holds only so many, and tells nobody how many.
 	sparesTier = 128
+
+	addressWithin = 20 * time.Second // for a process that ends to give the address up
+	addressEvery  = 20 * time.Millisecond
 )
 
 // spares is how many spare connections a limiter keeps per backend.
@@ -47,6 +52,9 @@
 // of a backend that still matters to be after it.
 func NewClock() Clock { return Clock{time.Now().Add(-time.Hour)} }
 
+// clockAt starts a clock that tells a time now: another process's.
+func clockAt(now time.Duration) Clock { return Clock{time.Now().Add(-now)} }
+
 // Zero is when the clock stood at zero.
 func (c Clock) Zero() time.Time { return c.zero }
 
@@ -55,21 +63,28 @@
 
 // A Node is the running program.
 type Node struct {
-	clock   Clock
-	log     *zap.Logger
-	events  chan reducer.Event
-	done    chan struct{}
-	reducer *reducer.Reducer
-	front   *front.Front
-	fetches *fetch.Pool
-	peers   *peer.Link // nil where there are none
-	watcher *discovery.Watcher
-	console *console.Console // nil where none is wanted
-	load    func() (*config.Config, error)
-	timer   *time.Timer
-	exit    bool
-	cancel  context.CancelFunc
-	edges   sync.WaitGroup
+	conf     *config.Config
+	clock    Clock
+	log      *zap.Logger
+	events   chan reducer.Event
+	done     chan struct{}
+	reducer  *reducer.Reducer
+	front    *front.Front
+	fetches  *fetch.Pool
+	peers    *peer.Link // nil where there are none
+	listener net.Listener
+	serving  chan struct{} // closed once front is there
+	watcher  *discovery.Watcher
+	console  *console.Console // nil where none is wanted
+	load     func() (*config.Config, error)
+	timer    *time.Timer
+	exit     bool
+	failed   chan error // why the program cannot go on
+	ctx      context.Context
+	cancel   context.CancelFunc
+	edges    sync.WaitGroup
+	share    func(part float64)
+	kin      kin
 }
 
 // Controls tell a running program what to do, by a value from a channel.
@@ -78,20 +93,19 @@
 	Stop   <-chan os.Signal // begins the way out
 	Reload <-chan os.Signal // has the configuration read again by Load
 	Load   func() (*config.Config, error)
+	Share  func(part float64) // holds the program to a part of the platform's limits; may be nil
 }
 
 // Run serves until it is told to stop and has answered what it had taken, and
 // returns an error if it could not.
 func Run(c *config.Config, clock Clock, log *zap.Logger, controls Controls) error {
 	n := &Node{
-		load: controls.Load, clock: clock, log: log, events: make(chan reducer.Event, inbox), done: make(chan struct{}),
-		timer: time.NewTimer(time.Hour),
-	}
-	failed, err := n.open(c)
-	if err != nil {
-		return err
+		conf: c, load: controls.Load, clock: clock, log: log, events: make(chan reducer.Event, inbox), done: make(chan struct{}),
+		timer: time.NewTimer(time.Hour), failed: make(chan error, 4), share: controls.Share, serving: make(chan struct{}),
 	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
 	defer n.close()
+	n.open()
 	for !n.exit {
 		select {
 		case ev := <-n.events:
@@ -105,7 +119,7 @@
 			n.step(reducer.Terminated{})
 		case <-controls.Reload:
 			n.step(reducer.ReloadAsked{})
-		case err := <-failed:
+		case err := <-n.failed:
 			return err
 		}
 	}
@@ -113,30 +127,14 @@
 	return nil
 }
 
-// open starts the edges.
-func (n *Node) open(c *config.Config) (failed <-chan error, err error) {
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	if c.PeerListen.IsValid() {
-		n.peers, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, n.post, n.log)
-		if err != nil {
-			listener.Close()
-			return nil, err
-		}
-		go n.peers.Read()
-		go n.peers.Write()
-	}
-	sockets := float64(c.Limits.Sockets)
+// open starts the edges that need no client, backend or peer yet, and the reducer, which says
+// what is to be opened next: all that there is, or a process to take over from.
+func (n *Node) open() {
+	c := n.conf
 	n.fetches = fetch.New(fetch.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Settings.IdleClose,
-		Fields: c.Settings.ReportFields, IdlePerBackend: spares(sockets, c.Settings.Gateways),
-		MostConns: int(sockets * fetchPart), Post: n.post,
-	})
-	n.front = front.New(front.Options{
-		Settings: c.Settings.Settings, MostUnits: c.Settings.MostUnits, Sessions: int(sockets * frontPart),
-		Now: n.clock.Now, Post: n.post, Log: n.log,
+		Fields: c.Settings.ReportFields, IdlePerBackend: spares(float64(c.Limits.Sockets), c.Settings.Gateways),
+		MostConns: int(float64(c.Limits.Sockets) * fetchPart), Post: n.post,
 	})
 	if c.Console != "" {
 		n.console = console.New(n.fetches.Wrote, n.log)
@@ -145,23 +143,63 @@
 	var effects []reducer.Effect
 	n.reducer, effects = reducer.New(n.clock.Now(), c.Reducer())
 	n.carryOut(effects)
+}
 
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+// start opens the sockets that the configuration names.
+func (n *Node) start(wait bool) error {
+	c := n.conf
+	listener, err := n.listen(wait)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if c.PeerListen.IsValid() {
+		n.peers, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, n.post, n.log)
+		if err != nil {
+			listener.Close()
+			return err
+		}
+	}
+	n.serve(listener, 0, c.Discovery, c.Generation)
+	return nil
+}
+
+// listen takes the clients' address. With wait, one who holds it and is about to end is
+// waited for.
+func (n *Node) listen(wait bool) (net.Listener, error) {
+	until := time.Now().Add(addressWithin)
+	for {
+		l, err := net.Listen("tcp", n.conf.Listen)
+		if err == nil || !wait || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return l, err
+		}
+		time.Sleep(addressEvery) // nothing else is there to be done yet
+	}
+}
+
+// serve begins with the sockets that are open.
+func (n *Node) serve(listener net.Listener, last reducer.ReqID, source string, generation int64) {
+	c := n.conf
+	n.listener = listener
+	n.front = front.New(front.Options{
+		Settings: c.Settings.Settings, MostUnits: c.Settings.MostUnits, Sessions: int(float64(c.Limits.Sockets) * frontPart),
+		Last: uint64(last), Now: n.clock.Now, Post: n.post, Log: n.log,
+	})
+	close(n.serving)
+	if n.peers != nil {
+		go n.peers.Read()
+		go n.peers.Write()
+	}
 	n.watcher = &discovery.Watcher{
-		Addr: c.Discovery, Origin: n.clock.Zero(), Index: c.Generation, Post: n.post, Log: n.log,
-		Tier: c.Settings.Gateways,
+		Addr: source, Origin: n.clock.Zero(), Index: generation, Post: n.post, Log: n.log, Tier: c.Settings.Gateways,
 	}
-	n.edges.Go(func() { n.watcher.Run(ctx) })
-	broken := make(chan error, 1)
+	n.edges.Go(func() { n.watcher.Run(n.ctx) })
 	go func() {
 		if err := n.front.Serve(listener); err != nil {
-			broken <- err
+			n.failed <- err
 		}
 	}()
 	n.log.Info("listening", zap.String("name", c.Name), zap.Stringer("at", listener.Addr()),
 		zap.Int("backends", len(c.Known)), zap.Int("peers", len(c.Peers)))
-	return broken, nil
 }
 
 func (n *Node) close() {
@@ -169,6 +207,7 @@
 	n.cancel()
 	n.edges.Wait()
 	n.fetches.Close()
+	n.kin.close()
 	if n.console != nil {
 		n.console.Close()
 	}
@@ -197,7 +236,11 @@
 	}
 }
 
-func (n *Node) step(ev reducer.Event) { n.carryOut(n.reducer.Step(n.clock.Now(), ev)) }
+func (n *Node) step(ev reducer.Event) {
+	if ev, ok := n.unwrap(ev); ok {
+		n.carryOut(n.reducer.Step(n.clock.Now(), ev))
+	}
+}
 
 // carryOut has the edges do what the reducer asks for. None of it waits for a
 // socket.
@@ -209,7 +252,9 @@
 		case reducer.StopFetch:
 			n.fetches.Stop(e.Fetch)
 		case reducer.Answer:
-			n.front.Answer(e)
+			if n.front != nil {
+				n.front.Answer(e)
+			}
 		case reducer.Probe:
 			n.fetches.Probe(e)
 		case reducer.DropBackend:
@@ -221,27 +266,37 @@
 		case reducer.SetTimer:
 			n.timer.Reset(e.At - n.clock.Now())
 		case reducer.Ready:
-			n.front.Ready(e.Is)
+			if n.front != nil {
+				n.front.Ready(e.Is)
+			}
 			if n.console != nil {
 				n.console.Ready(e.Is)
 			}
 		case reducer.Publish:
 			n.console.Publish(e.Figures)
 		case reducer.EndSessions:
-			n.front.EndSessions()
+			if n.front != nil {
+				n.front.EndSessions()
+			}
 		case reducer.CloseFront:
 			go func() {
-				n.front.Close(e.Within)
+				if n.front != nil {
+					n.front.Close(e.Within)
+				}
 				n.post(reducer.FrontClosed{})
 			}()
 		case reducer.Reload:
 			go n.reload()
 		case reducer.Watch:
-			n.watcher.Move(e.Addr)
+			if n.watcher != nil {
+				n.watcher.Move(e.Addr)
+			}
 		case reducer.Exit:
 			n.exit = true
 		case reducer.Log:
 			n.log.Info(e.Text)
+		default:
+			n.carryOutKin(e)
 		}
 	}
 }
@@ -257,7 +312,11 @@
 }
 
 func (n *Node) dump() {
+	sessions := 0
+	if n.front != nil {
+		sessions = n.front.Sessions()
+	}
 	n.log.Info("counters", zap.Stringer("phase", n.reducer.Phase()),
 		zap.Any("counts", n.reducer.Counters()), zap.Int("backend_connections", n.fetches.Conns()),
-		zap.Int("client_sessions", n.front.Sessions()))
+		zap.Int("client_sessions", sessions))
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +34,10 @@
 	written chan struct{} // closed when Write has ended
 	post    func(reducer.Event)
 	log     *zap.Logger
+
+	mu     sync.Mutex
+	paused chan struct{} // closed when reading goes on; nil while it does
+	closed chan struct{}
 }
 
 type datagram struct {
@@ -45,14 +51,57 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	return On(conn, peers, all, post, log), nil
+}
+
+// On goes on with a socket that is open.
+func On(conn *net.UDPConn, peers []netip.AddrPort, all netip.AddrPort, post func(reducer.Event), log *zap.Logger) *Link {
 	l := &Link{
 		conn: conn, peers: peers, all: all, numbers: map[netip.AddrPort]int{},
-		queue: make(chan datagram, waiting), written: make(chan struct{}), post: post, log: log,
+		queue: make(chan datagram, waiting), written: make(chan struct{}), closed: make(chan struct{}), post: post, log: log,
 	}
 	for i, p := range peers {
 		l.numbers[plain(p)] = i
 	}
-	return l, nil
+	return l
+}
+
+// Socket is the socket, for another process to go on with.
+func (l *Link) Socket() *net.UDPConn { return l.conn }
+
+// Pause ends reading until Resume: what comes meanwhile is for who reads next, here or in
+// another process.
+func (l *Link) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused == nil {
+		l.paused = make(chan struct{})
+		l.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Resume goes on reading.
+func (l *Link) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused != nil {
+		l.conn.SetReadDeadline(time.Time{})
+		close(l.paused)
+		l.paused = nil
+	}
+}
+
+// rest waits for Resume, or for the link's end.
+func (l *Link) rest() {
+	l.mu.Lock()
+	paused := l.paused
+	l.mu.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-l.closed:
+		}
+	}
 }
 
 // plain makes an IPv4 address equal to itself, however the system writes it.
@@ -67,6 +116,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			l.rest()
+			continue
+		}
 		if err != nil { // such as a refusal that an earlier datagram met: the next read may do
 			l.log.Debug("peer datagram", zap.Error(err))
 			continue
@@ -112,6 +165,7 @@
 // Close ends Read and Write. Tell must not be called after it.
 func (l *Link) Close() error {
 	close(l.queue)
+	close(l.closed)
 	select { // what was told last, such as that this limiter leaves, still goes out
 	case <-l.written:
 	case <-time.After(flushWithin):
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -15,7 +15,7 @@
 	Open int  // places in use here, kept by the caller
 	Gone bool // forgotten by Sweep
 
-	ledger      *Ledger
+	ledger      *Ledger `json:"-"`
 	first, size int
 	part        float64 // base part of the quota's store, 0 where this is no holder
 	even        float64 // one over the size of the set
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -129,7 +130,7 @@
 // A Ledger is what one limiter holds of all customers' stores. It is not safe
 // for concurrent use.
 type Ledger struct {
-	Config
+	Config   `json:"-"`
 	Count    Counters
 	standing Standing
 	born     time.Duration
@@ -140,11 +141,11 @@
 	spread   float64 // mean square of how it strays from that
 	looks    int
 	accounts map[uint32]*Account
-	order    []*Account // as first met
+	order    []*Account `json:"-"` // as first met
 	swept    int
 	peers    map[int]*peer
 	nonce    uint16
-	homed    []*Account // those whose home this is
+	homed    []*Account `json:"-"` // those whose home this is
 	hotAt    int        // among these: where the search for hot ones goes on
 	ready    []int      // peers to be told, in the order found
 }
@@ -159,7 +160,7 @@
 	silentUntil time.Duration // it left asks unanswered, and is left alone for a while
 	missed      bool          // since then nothing came: it is asked, but not waited for
 	dead        bool          // silent, and its clients come here: its parts of quotas are shared out
-	asks        []*Account
+	asks        []*Account    `json:"-"`
 	answers     []peermsg.Answer
 	waiting     bool // stands in ready
 }
@@ -248,6 +249,34 @@
 	return a
 }
 
+// Find gives a customer's account, nil if there is none.
+func (l *Ledger) Find(hash uint32) *Account { return l.accounts[hash] }
+
+// Relink builds what follows from the rest in a Ledger that was unpacked from another
+// process's. The configuration has to be that one's.
+func (l *Ledger) Relink(c Config) {
+	c.Limiters = max(c.Limiters, 1)
+	l.Config = c
+	for _, hash := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[hash]
+		a.ledger, a.asked, a.word = l, false, silence
+		l.order = append(l.order, a)
+		if a.mine == 0 && !a.small() {
+			l.homed = append(l.homed, a)
+		}
+		for i := range a.links {
+			if k := &a.links[i]; k.queued {
+				p := l.peer(k.peer)
+				p.asks = append(p.asks, a)
+				l.wants(k.peer, p)
+			}
+		}
+	}
+}
+
+// Set tells which limiters a customer's are: size in a row from first.
+func (a *Account) Set() (first, size int) { return a.first, a.size }
+
 // holders are the limiters of a small set, each of which has a base part of the
 // stores.
 func (l *Ledger) holders(a *Account) []int {
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -79,8 +79,9 @@
 
 // Listed brings news of the backends.
 type Listed struct {
-	Kind    lemongate.ListKind
-	Entries []Entry
+	Kind       lemongate.ListKind
+	Entries    []Entry
+	Generation int64 // of the list from now on
 }
 
 // An Entry is a backend of the list and where it listens.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lemongate"
+	"lemongate/internal/handover"
 	"lemongate/internal/peermsg"
 )
 
@@ -15,14 +16,17 @@
 
 const (
 	Starting Phase = iota // until discovery has told the list, or a short while
+	Awaiting              // seeks a process to take over from, or does so
 	Serving
+	Handing  // nobody admits: a successor is sent the state
+	Handed   // a successor admits; what is open here goes on
 	Draining // asked to end: still accepts, but keeps no client session
 	Closing  // accepts nothing more, answers what it has taken
 	Stopped
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "closing", "stopped"}[p]
+	return [...]string{"starting", "awaiting", "serving", "handing", "handed", "draining", "closing", "stopped"}[p]
 }
 
 // Bounds of the program's life. They are the platform's, not a site's.
@@ -47,6 +51,10 @@
 
 	Discovery string // where the list of backends is watched
 	Publishes bool   // somebody wants the figures
+
+	Generation int64            // of Known
+	Takeover   *handover.Limits // takes over from a process that runs, and lets a successor do so; nil for neither
+	Epoch      uint32           // of this start
 }
 
 // A Reducer is the state of the program. It is not safe for concurrent use.
@@ -73,6 +81,10 @@
 	backlog  []lemongate.Event // for the Gateway, after the one it handles
 
 	publishes  bool
+	kin        kin
+	config     Config
+	generation int64 // of the list
+	last       ReqID // the greatest that the front has given
 	published  time.Duration
 	publishing bool // a timer stands for what changed since
 }
@@ -88,7 +100,10 @@
 	attempts int
 	maybe    bool // a fetch may have run
 	answered bool // or its client has left
-	open     int  // fetches out
+	remote   bool // it came to the elder, which answers it
+	relayed  bool // the heir decides it
+	event    *Arrived
+	open     int // fetches out
 }
 
 // A fetch is an attempt that is out.
@@ -108,12 +123,16 @@
 	for _, class := range c.Settings.Classes {
 		r.lanes = append(r.lanes, Lane{Class: class.Name})
 	}
-	settle := settleWithin
-	if len(c.Known) > 0 {
-		settle = settleKnown
+	r.config, r.kin.adopted = c, map[FetchID]*Began{}
+	if c.Takeover == nil {
+		r.kin.Machine = handover.New(handover.Limits{}, false, now)
+		r.begin(false)
+		return r, r.finish()
 	}
-	r.timers.add(timer{at: now + settle, kind: settleTimer})
-	r.listed(&Listed{Kind: lemongate.ListCached, Entries: c.Known})
+	r.kin.Machine = handover.New(*c.Takeover, true, now)
+	r.phase = Awaiting
+	r.do(KinSeek{})
+	r.kinTimer()
 	return r, r.finish()
 }
 
@@ -141,7 +160,8 @@
 	r.out = r.out[:0]
 	switch ev := ev.(type) {
 	case *Arrived:
-		r.arrived(ev)
+		r.last = max(r.last, ev.ID)
+		r.arrived(ev, false)
 	case *Left:
 		r.left(ev.Req)
 	case Malformed:
@@ -170,17 +190,30 @@
 	case *Reloaded:
 		r.reloaded(ev)
 	case Terminated:
-		if r.phase < Draining {
-			r.enter(Draining)
-		}
+		r.terminated()
 	case FrontClosed:
 		r.enter(Stopped)
+	default:
+		r.kinEvent(ev)
 	}
 	r.elapse()
 	r.publish()
+	r.kinTimer()
 	return r.finish()
 }
 
+// terminated begins the way out, if nothing else has to be settled first.
+func (r *Reducer) terminated() {
+	if r.phase >= Draining || r.kin.ended {
+		return
+	}
+	r.kin.ended = true
+	effects, alone := r.kin.Told(r.now)
+	if r.kinDo(effects); alone {
+		r.enter(Draining)
+	}
+}
+
 // enter moves on to a phase and asks for what it begins with.
 func (r *Reducer) enter(p Phase) {
 	r.phase = p
@@ -188,6 +221,10 @@
 	switch p {
 	case Serving:
 		r.do(Ready{Is: true})
+	case Handing:
+		r.halt()
+	case Handed:
+		r.yield()
 	case Draining:
 		r.do(Ready{Is: false})
 		r.do(EndSessions{})
@@ -197,7 +234,9 @@
 		for _, c := range r.set.Classes {
 			longest = max(longest, c.Deadline)
 		}
-		r.tell(lemongate.Leaving{})
+		if !r.kin.yielded { // else the limiter goes on
+			r.tell(lemongate.Leaving{})
+		}
 		r.do(CloseFront{Within: longest + killAfter - acceptAfter - killMargin})
 	case Stopped:
 		r.do(Exit{})
@@ -226,6 +265,9 @@
 			r.enter(Serving)
 		case graceTimer:
 			r.enter(Closing)
+		case kinTimer:
+			r.kin.due = 0
+			r.kinDo(r.kin.Tick(r.now))
 		case figuresTimer: // publish sees to it, after all that is due
 			r.publishing = false
 		}
@@ -257,6 +299,8 @@
 		return r.fetches[t.id] != nil
 	case settleTimer:
 		return r.phase == Starting
+	case kinTimer:
+		return t.at == r.kin.due
 	}
 	return true
 }
@@ -277,18 +321,25 @@
 //
 // A req under the id of one that is open is turned away: backends and clients
 // would take the answer of one for the other's.
-func (r *Reducer) arrived(ev *Arrived) {
+//
+// Remote tells that it came to the elder, which answers it and counts it.
+func (r *Reducer) arrived(ev *Arrived, remote bool) {
 	if ev.CallID != "" {
 		if _, open := r.calls[ev.CallID]; open {
 			r.count.Malformed[OpenID]++
-			r.do(Answer{Req: ev.ID, Kind: Clashed})
+			r.reply(remote, Answer{Req: ev.ID, Kind: Clashed})
 			return
 		}
 		r.calls[ev.CallID] = ev.ID
 	}
-	r.count.Received++
-	r.pending++
-	q := &req{id: ev.ID, callID: ev.CallID, class: -1, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content}
+	q := &req{
+		id: ev.ID, callID: ev.CallID, class: -1, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content,
+		remote: remote, event: ev,
+	}
+	if !remote {
+		r.count.Received++
+		r.pending++
+	}
 	for i := range r.set.Classes {
 		if r.set.Classes[i].Name == ev.Class {
 			q.class, q.effect = i, r.set.Classes[i].Effect
@@ -296,16 +347,33 @@
 	}
 	r.reqs[ev.ID] = q
 	r.timers.add(timer{at: q.deadline, kind: deadlineTimer, id: FetchID{Req: ev.ID}})
-	event := ev.Request
-	event.Budget -= r.now - min(ev.At, r.now)
+	switch {
+	case r.kin.yielded:
+		r.relay(q)
+	case r.phase == Handing:
+		r.kin.parked = append(r.kin.parked, q)
+	default:
+		r.ask(q)
+	}
+}
+
+// ask has the Gateway decide a req.
+func (r *Reducer) ask(q *req) {
+	event := q.event.Request
+	event.Budget = q.deadline + answerMargin - r.now
 	r.tell(&event)
 }
 
 // left books that a client has gone: nothing is owed to it any longer.
 func (r *Reducer) left(id ReqID) {
 	if q := r.reqs[id]; q != nil && !q.answered {
-		r.count.Left++
-		r.pending--
+		if q.relayed {
+			r.do(KinGave{Req: id})
+		}
+		if !q.remote {
+			r.count.Left++
+			r.pending--
+		}
 		q.answered = true
 		r.tell(&lemongate.Gone{Request: id})
 		r.forget(q)
@@ -319,6 +387,9 @@
 		return
 	}
 	r.count.Overdue++
+	if q.relayed {
+		r.do(KinGave{Req: id})
+	}
 	if q.open == 0 && !q.maybe || q.effect == lemongate.Safe {
 		r.answer(q, Answer{Kind: Refused, RetryAfter: r.set.MaxRetryAfter})
 	} else {
@@ -334,9 +405,13 @@
 		return
 	}
 	q.answered = true
+	a.Req = q.id
+	r.reply(q.remote, a)
+	if q.remote {
+		return
+	}
 	r.pending--
 	r.ended(q.class, a.Kind)
-	a.Req = q.id
 	switch a.Kind {
 	case Served:
 		r.count.Served++
@@ -345,6 +420,14 @@
 	case Failed:
 		r.count.Failed++
 	}
+}
+
+// reply sends an answer to who has the client's session.
+func (r *Reducer) reply(remote bool, a Answer) {
+	if remote {
+		r.do(KinReply{a})
+		return
+	}
 	r.do(a)
 }
 
@@ -390,6 +473,9 @@
 	delete(r.fetches, id)
 	f.req.open--
 	f.req.maybe = f.req.maybe || !result.NeverRan()
+	if r.kin.mute {
+		r.do(KinEnded{Ended{Fetch: id, Backend: f.backend, Result: result, Latency: r.now - f.sent, Report: report}})
+	}
 	r.tell(&lemongate.Outcome{
 		Request: id.Req, Attempt: id.Attempt, Backend: f.backend, Result: result,
 		Latency: r.now - f.sent, Final: final || f.req.answered, Report: report,
@@ -402,6 +488,7 @@
 // on most days backends are replaced under new ids, and never come back.
 func (r *Reducer) listed(ev *Listed) {
 	r.count.Lists++
+	r.generation = ev.Generation
 	list := &lemongate.List{Kind: ev.Kind}
 	named := map[string]bool{}
 	for _, e := range ev.Entries {
@@ -510,10 +597,13 @@
 		r.wakes[a.Token] = a.At
 		r.timers.add(timer{at: a.At, kind: gatewayTimer, text: a.Token})
 	case lemongate.Tell:
+		if r.kin.mute {
+			return // peers hear the heir
+		}
 		r.count.PeerOut++
 		r.do(Tell{Peer: a.Peer, Data: a.Data})
 	case lemongate.Probe:
-		if b := r.backends[a.Backend]; b != nil && b.State == lemongate.Live {
+		if b := r.backends[a.Backend]; b != nil && b.State == lemongate.Live && !r.kin.mute {
 			r.count.Probes++
 			r.do(Probe{Backend: b.ID, Addr: b.Addr})
 		}
@@ -561,5 +651,8 @@
 	q.open++
 	r.fetches[id] = &fetch{req: q, backend: b.ID, sent: r.now}
 	r.timers.add(timer{at: until, kind: fetchTimer, id: id})
+	if r.kin.mute {
+		r.do(KinBegan{q.began(id, b.ID)})
+	}
 	r.do(StartFetch{Fetch: id, Backend: b.ID, Addr: b.Addr, Wait: until - r.now, Content: q.content})
 }
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,188 @@
+package lemongate
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"unicode"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"lemongate/internal/quota"
+)
+
+// This file moves what a Gateway remembers to the one of another process, which takes over
+// from it. All state goes but what is tagged json:"-": that follows from the settings, from
+// other state, or is about requests, which stay where they are.
+
+// state is the codec of a snapshot: it packs fields that are not exported too.
+var state = func() jsoniter.API {
+	api := jsoniter.Config{SortMapKeys: true, CaseSensitive: true}.Froze()
+	api.RegisterExtension(&ownFields{})
+	return api
+}()
+
+// ownFields has a field that is not exported packed under its name.
+type ownFields struct{ jsoniter.DummyExtension }
+
+func (*ownFields) UpdateStructDescriptor(d *jsoniter.StructDescriptor) {
+	for _, b := range d.Fields {
+		if name := b.Field.Name(); unicode.IsLower(rune(name[0])) {
+			b.FromNames, b.ToNames = []string{name}, []string{name}
+		}
+	}
+}
+
+// A snapshot is what goes over.
+type snapshot struct {
+	Print   uint64 // of the settings: by others the state means nothing
+	Epoch   uint32
+	Gateway *Gateway
+}
+
+// Snapshot packs what this Gateway remembers. Requests do not go with it: those that wait
+// have to be withdrawn first (Gone), what is out is for Adopted. It says nothing new to its
+// peers from here on, and must not be asked to admit again but after Renewed.
+func (g *Gateway) Snapshot() ([]byte, error) {
+	if !g.running {
+		return nil, errors.New("snapshot: nothing has come yet")
+	}
+	data, err := state.Marshal(snapshot{Print: print(g.set), Epoch: g.set.Epoch, Gateway: g})
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Resume returns a Gateway that goes on where the one of a snapshot stood, in its epoch, so
+// that its peers see no restart. Settings that decide otherwise than those of the snapshot
+// are an error: rights that were cut by others would be counted wrong.
+func Resume(set Settings, seed uint64, data []byte) (*Gateway, error) {
+	g := New(set, seed)
+	s := snapshot{Gateway: g}
+	if err := state.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	switch {
+	case s.Print != print(set):
+		return nil, errors.New("snapshot: of other settings")
+	case s.Gateway != g || g.ledger == nil || len(g.classes) != len(set.Classes):
+		return nil, errors.New("snapshot: not whole")
+	}
+	g.set.Epoch = s.Epoch
+	g.relink()
+	return g, nil
+}
+
+// print tells settings apart by all that decides.
+func print(set Settings) uint64 {
+	set.Epoch = 0
+	h := fnv.New64a()
+	state.NewEncoder(h).Encode(set)
+	return h.Sum64()
+}
+
+// relink builds what follows from the rest.
+func (g *Gateway) relink() {
+	clear(g.byName)
+	g.preferred = slices.Clone(g.classes)
+	for _, c := range g.classes {
+		g.byName[c.Name] = c
+	}
+	slices.SortStableFunc(g.preferred, func(a, b *class) int {
+		return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Aim, b.Aim))
+	})
+	g.ledger.Relink(g.quotaConfig())
+	for _, c := range g.customers {
+		c.plan, c.held, c.open = &Plan{}, 0, 0
+		if c.number < len(g.set.Plans) {
+			c.plan = &g.set.Plans[c.number]
+		}
+		if c.account = g.ledger.Find(hashOf(c.name)); c.account == nil {
+			delete(g.customers, c.name)
+			continue
+		}
+		g.places(c)
+		g.order = append(g.order, c)
+	}
+	slices.SortFunc(g.order, func(a, b *customer) int { return cmp.Compare(a.name, b.name) })
+	for _, b := range g.known {
+		if b.told > 0 {
+			g.news = append(g.news, b)
+		}
+	}
+	slices.SortFunc(g.news, func(a, b *backend) int { return cmp.Or(cmp.Compare(a.heard, b.heard), cmp.Compare(a.ID, b.ID)) })
+	for _, p := range g.peers {
+		if p.waits {
+			g.telling = append(g.telling, p)
+		}
+	}
+	slices.SortFunc(g.telling, func(a, b *peer) int { return cmp.Compare(a.number, b.number) })
+	g.merge(&List{Kind: ListChanges})
+	g.wakeAt, g.dueAt = math.MaxInt64, g.now // the first event asks for the timer
+}
+
+// Adopted tells of an attempt that another process has out for this gateway's customers: it
+// counts at its backend and among its customer's places until its Outcome.
+type Adopted struct {
+	Request
+	Attempt int
+	Backend string
+}
+
+// Renewed tells that another process stood in for this one, and what it granted is not
+// known: what is held of the stores is what a limiter holds that starts anew.
+type Renewed struct{ Epoch uint32 }
+
+func (*Adopted) event() {}
+func (Renewed) event()  {}
+
+// adopt books an attempt of another process.
+func (g *Gateway) adopt(ev *Adopted) {
+	c, b := g.byName[ev.Class], g.known[ev.Backend]
+	if c == nil || b == nil {
+		return
+	}
+	r := g.requests[ev.ID]
+	if r == nil {
+		r = &request{Request: &ev.Request, class: c, customer: g.lookup(&ev.Request), came: g.now, over: true}
+		g.requests[ev.ID] = r
+	}
+	if r.at != nil {
+		r.stop()
+	}
+	r.attempts = ev.Attempt
+	r.start(b, g.now)
+	g.places(r.customer)
+}
+
+// renew starts the ledger anew.
+func (g *Gateway) renew(epoch uint32) {
+	g.set.Epoch = epoch
+	g.ledger = quota.New(g.quotaConfig(), g.now)
+	if !slices.Contains(g.set.ReportFields, "util") {
+		g.ledger.Resolve(quota.Fresh, g.now)
+	}
+	g.starting = nil
+	for _, b := range g.known {
+		b.reported = false
+	}
+	for _, p := range g.peers {
+		p.sent = 0
+	}
+	g.customers, g.order = map[string]*customer{}, nil
+	for _, r := range g.requests { // those that are out still count
+		c := r.customer
+		if g.customers[c.name] == nil {
+			first, size := c.account.Set()
+			c.account = g.ledger.Account(c.account.Hash, c.number, first, size, g.now)
+			g.customers[c.name], g.order = c, append(g.order, c)
+			g.places(c)
+		}
+	}
+	slices.SortFunc(g.order, func(a, b *customer) int { return cmp.Compare(a.name, b.name) })
+	g.greet()
+}
--- a/state.go
+++ b/state.go
@@ -41,65 +41,65 @@
 
 // A Gateway makes the decisions of one front door.
 type Gateway struct {
-	set     Settings
-	rng     *rand.Rand
+	set     Settings   `json:"-"`
+	rng     *rand.Rand `json:"-"`
 	now     time.Duration
-	out     []Action
+	out     []Action `json:"-"`
 	running bool
 
-	classes   []*class // as in the settings
-	byName    map[string]*class
-	preferred []*class // the same, by falling worth
-	plans     map[string]int
-	requests  map[RequestID]*request
-	retries   []*request // waiting for a backend that their next attempt may use
+	classes   []*class               // as in the settings
+	byName    map[string]*class      `json:"-"`
+	preferred []*class               `json:"-"` // the same, by falling worth
+	plans     map[string]int         `json:"-"`
+	requests  map[RequestID]*request `json:"-"`
+	retries   []*request             `json:"-"` // waiting for a backend that their next attempt may use
 
-	backends []*backend // listed and live; in a large tier those first that this gateway keeps to
+	backends []*backend `json:"-"` // listed and live; in a large tier those first that this gateway keeps to
 	known    map[string]*backend
 
-	byKey    map[uint32]*backend // listed and live, by what peers call them
-	news     []*backend          // seen of late and not yet told often enough
+	byKey    map[uint32]*backend `json:"-"` // listed and live, by what peers call them
+	news     []*backend          `json:"-"` // seen of late and not yet told often enough
 	meanLoad float64             // of the load reports seen here
 
 	ledger    *quota.Ledger // what is held here of the customers' stores
 	customers map[string]*customer
-	order     []*customer   // as first met
-	asking    []*customer   // whose requests wait for the others' word
+	order     []*customer   `json:"-"` // as first met
+	asking    []*customer   `json:"-"` // whose requests wait for the others' word
 	first     time.Duration // when the first request came
 	left      bool          // this gateway leaves
 	starting  []float64     // how busy backends were when they were first heard of
 	peers     map[int]*peer
-	gap       time.Duration // between messages to one peer
-	telling   []*peer       // something is to be told there
-	pause     time.Duration // between any two messages, in a tier where no limiter has but a few peers
+	gap       time.Duration `json:"-"` // between messages to one peer
+	telling   []*peer       `json:"-"` // something is to be told there
+	pause     time.Duration `json:"-"` // between any two messages, in a tier where no limiter has but a few peers
 	paced     time.Duration // when that allows the next ask
 	pacedAll  time.Duration // and when all messages, answers too, allow the next news
 	probes    saved         // probes that may go
 	turned    Turned
 
-	aimShort, aimLong time.Duration
+	aimShort, aimLong time.Duration `json:"-"`
 	nextPeriod        time.Duration
-	wakeAt, dueAt     time.Duration // the timer set, and when something is due
+	wakeAt, dueAt     time.Duration `json:"-"` // the timer set, and when something is due
 	carry             saved         // attempts, while the window is under one
 	cold              saved         // attempts at a wholly cold choice
 	scale             float64       // of the window
 	strain            float64       // what attempts take, in their part of the aim
 	quotas            float64       // requests a second that the customers served here may send
-	meanAim           float64
-	period            float64       // seconds of a control period
-	memory            float64       // seconds over which rates are seen
-	forget            time.Duration // gone backends go after this
+	meanAim           float64       `json:"-"`
+	period            float64       `json:"-"` // seconds of a control period
+	memory            float64       `json:"-"` // seconds over which rates are seen
+	forget            time.Duration `json:"-"` // gone backends go after this
 	typical           float64       // median slope of the backends
 	bound             bool          // the window was full at some time in this period
 	retryTokens       float64
-	retryMost         float64 // saved up at most
+	retryMost         float64 `json:"-"` // saved up at most
 	sendRate          decayed // first and further attempts
 	watch             bool    // the list must be asked for
 }
 
 type class struct {
 	Class
-	queue  []*request
+	queue  []*request `json:"-"`
 	share  float64
 	credit float64
 
@@ -139,7 +139,7 @@
 
 type backend struct {
 	Backend
-	open    []*request // attempts out, oldest first
+	open    []*request `json:"-"` // attempts out, oldest first
 	slope   float64    // latency per attempt out, in class means
 	answers float64    // that tell it, faded
 	seen    time.Duration
@@ -160,16 +160,16 @@
 
 type customer struct {
 	name    string
-	plan    *Plan
-	number  int // of the plan
-	size    int // of its set
-	account *quota.Account
+	plan    *Plan          `json:"-"`
+	number  int            // of the plan
+	size    int            // of its set
+	account *quota.Account `json:"-"`
 	seen    time.Duration
 	units   float64 // running mean of a request's
 
-	open, held int
-	waits      bool       // requests wait for the others' word
-	asks       []*request // these, in order
+	open, held int        `json:"-"`
+	waits      bool       `json:"-"` // requests wait for the others' word
+	asks       []*request `json:"-"` // these, in order
 }
 
 type peer struct {
@@ -570,6 +570,15 @@
 	}
 	g.nextPeriod = g.now + seconds(g.period)
 	g.by(g.nextPeriod)
+	g.ledger = quota.New(g.quotaConfig(), g.now)
+	if !slices.Contains(g.set.ReportFields, "util") {
+		g.ledger.Resolve(quota.Fresh, g.now) // nothing will ever tell
+	}
+	g.greet()
+}
+
+// quotaConfig words the settings for the ledger.
+func (g *Gateway) quotaConfig() quota.Config {
 	c := quota.Config{Self: g.set.Self, Limiters: g.set.Gateways, Talks: g.talks(), Epoch: g.set.Epoch}
 	for _, p := range g.set.Plans {
 		c.Plans = append(c.Plans, quota.Plan{
@@ -578,11 +587,7 @@
 		})
 	}
 	c.Plans = append(c.Plans, quota.Plan{}) // of a plan that the settings do not have
-	g.ledger = quota.New(c, g.now)
-	if !slices.Contains(g.set.ReportFields, "util") {
-		g.ledger.Resolve(quota.Fresh, g.now) // nothing will ever tell
-	}
-	g.greet()
+	return c
 }
 
 // Turned counts the requests that a Gateway ended without an answer of a backend, by cause.
