--- a/cmd/lemongate/takeover_test.go
+++ b/cmd/lemongate/takeover_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,7 +15,7 @@
 
 	"lemongate/internal/handover"
 	"lemongate/internal/handover/link"
-	"lemongate/internal/lab/proc"
+	"lemongate/internal/lab/fleet"
 )
 
 // TestMain lets the test program be a limiter's process, or one side of a takeover that fails
@@ -33,19 +35,19 @@
 }
 
 // tier makes limiters that take over from each other.
-func tier(t *testing.T, limiters, backends int) *proc.Tier {
+func tier(t *testing.T, limiters, backends int) *fleet.Tier {
 	t.Helper()
 	operator := t.TempDir() + "/operator.json"
 	if err := os.WriteFile(operator, []byte(`{"takeover":{"on":true,"silence_ms":300}}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	x := proc.New(t, limiters, backends, os.Args[0], "serve", "--operator", operator)
+	x := fleet.New(t, limiters, backends, os.Args[0], "serve", "--operator", operator)
 	x.Env = []string{"LEMONGATE_TEST=serve"}
 	return x
 }
 
 // startAll starts each limiter once.
-func startAll(t *testing.T, x *proc.Tier) (list []*proc.Process) {
+func startAll(t *testing.T, x *fleet.Tier) (list []*fleet.Process) {
 	t.Helper()
 	for _, l := range x.Limiters {
 		list = append(list, l.Start())
@@ -58,7 +60,7 @@
 
 // judge holds what came of all reqs against what is owed: a whole answer each, of a backend's
 // making or synthetic, and no attempt repeated beyond what failed ones call for.
-func judge(t *testing.T, x *proc.Tier, results []proc.Result) (served int, gap time.Duration) {
+func judge(t *testing.T, x *fleet.Tier, results []fleet.Result) (served int, gap time.Duration) {
 	t.Helper()
 	attempts, _ := x.Attempts()
 	var last time.Time
@@ -98,13 +100,13 @@
 func TestTakeoversUnderLoad(t *testing.T) {
 	const takeovers, rate, burst = 10, 100.0, 60.0
 	x := tier(t, 3, 4)
-	x.Plans = append(x.Plans, proc.Plan{Name: "capped", Rate: rate, Burst: burst, CeilRate: rate, Ceil: burst})
+	x.Plans = append(x.Plans, fleet.Plan{Name: "capped", Rate: rate, Burst: burst, CeilRate: rate, Ceil: burst})
 	processes := startAll(t, x)
 	for _, b := range x.Backends {
 		b.Delay(15 * time.Millisecond)
 	}
-	load := x.Begin(500, func(n int) proc.Req {
-		q := proc.Req{Limiter: n % 3, Class: "read", Plan: "free", Customer: uint64(1000 + n%50), Spread: 3}
+	load := x.Begin(500, func(n int) fleet.Req {
+		q := fleet.Req{Limiter: n % 3, Class: "read", Plan: "free", Customer: uint64(1000 + n%50), Spread: 3}
 		switch n % 5 {
 		case 0, 1: // twice the ceiling, by all three
 			q.Plan, q.Customer = "capped", 7
@@ -142,13 +144,30 @@
 	}
 	_, first := x.Attempts()
 	ceiling(t, first, rate, burst)
-	t.Logf("%d reqs, %d served, longest time without one %v", len(results), served, gap)
+	t.Logf("%d reqs, %d served, longest time without one %v; p99 %v at the limiter that is taken over, %v at the others",
+		len(results), served, gap, p99(results, func(r fleet.Result) bool { return r.Limiter == 0 }),
+		p99(results, func(r fleet.Result) bool { return r.Limiter > 0 }))
+}
+
+// p99 is the 99th percentile of the time to the answer.
+func p99(results []fleet.Result, of func(fleet.Result) bool) time.Duration {
+	var took []time.Duration
+	for _, r := range results {
+		if of(r) && r.Status == http.StatusOK {
+			took = append(took, r.Took)
+		}
+	}
+	slices.Sort(took)
+	if len(took) == 0 {
+		return 0
+	}
+	return took[len(took)*99/100]
 }
 
 // ceiling holds the first attempts of customer 7 against its store: by the time they came to a
 // backend no more had come than it began with and gained since. A req's attempt may be under way
 // for a moment, so the store is given what it gains in that time.
-func ceiling(t *testing.T, seen []proc.Seen, rate, burst float64) {
+func ceiling(t *testing.T, seen []fleet.Seen, rate, burst float64) {
 	t.Helper()
 	const customer, under = "0000000000000007", 0.15
 	level, last, once := burst, time.Time{}, map[string]bool{}
@@ -183,14 +202,14 @@
 				t.Parallel()
 				x := tier(t, 1, 2)
 				elder := startAll(t, x)[0]
-				load := x.Begin(150, func(n int) proc.Req {
-					return proc.Req{Class: "read", Plan: "free", Customer: uint64(n % 20)}
+				load := x.Begin(150, func(n int) fleet.Req {
+					return fleet.Req{Class: "read", Plan: "free", Customer: uint64(n % 20)}
 				})
 				time.Sleep(100 * time.Millisecond) // some sessions and reqs are open
 				heir := script(t, x, "heir:"+step+":"+how)
-				proc.Until(t, "the step", func() bool { return heir.Log("at " + step) })
+				fleet.Until(t, "the step", func() bool { return heir.Log("at " + step) })
 				before := time.Now()
-				proc.Until(t, "a process that takes clients", elder.Healthy)
+				fleet.Until(t, "a process that takes clients", elder.Healthy)
 				back := time.Since(before)
 				time.Sleep(700 * time.Millisecond) // any limit that still runs has passed
 				if !elder.Healthy() {
@@ -208,7 +227,7 @@
 					heir.Signal(syscall.SIGKILL)
 				}
 				next := x.Limiters[0].Start()
-				proc.Until(t, "the good successor", next.Healthy)
+				fleet.Until(t, "the good successor", next.Healthy)
 				elder.Signal(syscall.SIGTERM)
 				if err := elder.Wait(t); err != nil {
 					t.Error(err)
@@ -219,7 +238,7 @@
 }
 
 // script starts a process that plays one side and fails at a step.
-func script(t *testing.T, x *proc.Tier, role string) *proc.Process {
+func script(t *testing.T, x *fleet.Tier, role string) *fleet.Process {
 	t.Helper()
 	env := x.Env
 	x.Env = []string{"LEMONGATE_TEST=" + role}
@@ -240,10 +259,10 @@
 			t.Parallel()
 			x := tier(t, 1, 2)
 			elder := script(t, x, "elder:"+c.step+":"+c.how)
-			proc.Until(t, "the elder", func() bool { return elder.Log("ready") })
+			fleet.Until(t, "the elder", func() bool { return elder.Log("ready") })
 			heir := x.Limiters[0].Start()
 			if waits := c.how == "stop" && c.step != "transfer" && c.step != "taken" && c.step != "commit"; waits {
-				proc.Until(t, "the step", func() bool { return elder.Log("at " + c.step) })
+				fleet.Until(t, "the step", func() bool { return elder.Log("at " + c.step) })
 				time.Sleep(800 * time.Millisecond)
 				if heir.Healthy() {
 					t.Error("takes clients beside an elder that may")
@@ -251,7 +270,7 @@
 				elder.Signal(syscall.SIGKILL)
 			}
 			heir.Await(t)
-			load := x.Begin(100, func(n int) proc.Req { return proc.Req{Class: "read", Plan: "free", Customer: uint64(n % 20)} })
+			load := x.Begin(100, func(n int) fleet.Req { return fleet.Req{Class: "read", Plan: "free", Customer: uint64(n % 20)} })
 			time.Sleep(300 * time.Millisecond)
 			if served, _ := judge(t, x, load.End()); served < 20 {
 				t.Errorf("served %d", served)
@@ -275,14 +294,14 @@
 				x := tier(t, 1, 2)
 				elder := startAll(t, x)[0]
 				heir := x.Limiters[0].Start()
-				proc.Until(t, "the takeover", func() bool { return heir.Log("takes over") || heir.Log("listening") })
+				fleet.Until(t, "the takeover", func() bool { return heir.Log("takes over") || heir.Log("listening") })
 				time.Sleep(after)
 				victim, other := elder, heir
 				if who == "heir" {
 					victim, other = heir, elder
 				}
 				victim.Signal(sig)
-				proc.Until(t, "one that serves", func() bool {
+				fleet.Until(t, "one that serves", func() bool {
 					if sig == syscall.SIGSTOP && who == "elder" && !other.Healthy() {
 						victim.Signal(syscall.SIGKILL) // stopped before it gave anything away: the operator ends it
 					}
@@ -326,7 +345,7 @@
 		if err := heir.Wait(t); err != nil {
 			t.Error(err)
 		}
-		proc.Until(t, "the old one serves again", elder.Healthy)
+		fleet.Until(t, "the old one serves again", elder.Healthy)
 	})
 	t.Run("SIGHUP in the middle", func(t *testing.T) {
 		t.Parallel()
@@ -355,7 +374,7 @@
 		heir := x.Limiters[0].Start()
 		heir.Await(t) // in its trial
 		third := x.Limiters[0].Start()
-		proc.Until(t, "an answer to the third", func() bool { return elder.Log("another takeover is under way") || elder.Log("is handed") })
+		fleet.Until(t, "an answer to the third", func() bool { return elder.Log("another takeover is under way") || elder.Log("is handed") })
 		if third.Healthy() || !heir.Healthy() {
 			t.Error("the third takes clients")
 		}
@@ -389,7 +408,7 @@
 		x := tier(t, 1, 1)
 		elder := startAll(t, x)[0]
 		x.Limiters[0].Start(func(c map[string]any) { c["listen"] = "127.0.0.1:1" })
-		proc.Until(t, "it is turned away", func() bool { return elder.Log("listens elsewhere") })
+		fleet.Until(t, "it is turned away", func() bool { return elder.Log("listens elsewhere") })
 		if !elder.Healthy() {
 			t.Error("the one that runs does not serve on")
 		}
@@ -540,3 +559,179 @@
 	fail(script, "commit")
 	select {}
 }
+
+// Sessions of all kinds at the moment of the switch: used and idle, never used, and half a head
+// sent. Each goes on, and each req gets its answer.
+func TestSessionsOverTheSwitch(t *testing.T) {
+	x := tier(t, 1, 2)
+	elder := startAll(t, x)[0]
+	load := x.Begin(100, func(n int) fleet.Req { return fleet.Req{Class: "read", Plan: "free", Customer: uint64(n % 20)} })
+	const idle, half = 150, 50
+	ask := func(c net.Conn, id string) error {
+		_, err := fmt.Fprintf(c, "GET /read/%016x HTTP/1.1\r\nHost: h\r\nX-Call-Id: %s\r\nPlan: free\r\nX-Budget: 2000m\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n", 9, id)
+		return err
+	}
+	answered := func(c net.Conn, what string) {
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusTooManyRequests {
+			t.Errorf("%s: %v, %+v", what, err, resp)
+		}
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", x.Limiters[0].Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	var used, halves []net.Conn
+	for i := range idle {
+		c := dial()
+		if i%2 == 0 {
+			ask(c, fmt.Sprintf("before%d", i))
+			answered(c, "before the switch")
+		}
+		used = append(used, c)
+	}
+	for i := range half {
+		c := dial()
+		fmt.Fprintf(c, "GET /read/%016x HTTP/1.1\r\nHost: h\r\nX-Call-Id: half%d\r\nPl", 9, i)
+		halves = append(halves, c)
+	}
+	heir := x.Limiters[0].Start()
+	heir.Await(t)
+	elder.Signal(syscall.SIGTERM)
+	fleet.Until(t, "the old one closes", func() bool { return elder.Log("phase closing") })
+	for _, c := range halves {
+		fmt.Fprint(c, "an: free\r\nX-Budget: 2000m\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n")
+	}
+	for i, c := range used {
+		if err := ask(c, fmt.Sprintf("after%d", i)); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, c := range halves {
+		answered(c, "half a head")
+	}
+	for _, c := range used {
+		answered(c, "an idle session")
+	}
+	if err := elder.Wait(t); err != nil {
+		t.Error(err)
+	}
+	judge(t, x, load.End())
+}
+
+// A keyed req is out at a backend that dies when its limiter is taken over: it runs once, its
+// client has one answer, and the client's own retry through the new process is answered by what
+// the backends remember.
+func TestKeyedOverTheSwitch(t *testing.T) {
+	x := tier(t, 1, 3)
+	elder := startAll(t, x)[0]
+	for _, b := range x.Backends {
+		b.Delay(400 * time.Millisecond)
+	}
+	load := x.Begin(40, func(n int) fleet.Req {
+		return fleet.Req{Class: "post", Plan: "free", Customer: uint64(n % 5), Key: fmt.Sprintf("%032x", n/2), Body: 100}
+	})
+	time.Sleep(300 * time.Millisecond)
+	heir := x.Limiters[0].Start()
+	heir.Await(t)
+	x.Backends[0].Break() // with what it has in work
+	elder.Signal(syscall.SIGTERM)
+	if err := elder.Wait(t); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	results := load.End()
+	served := 0
+	for _, r := range results {
+		if r.Fault != "" {
+			t.Errorf("lost after %v: %s", r.Took, r.Fault)
+		}
+		if r.Status == http.StatusOK {
+			served++
+		}
+	}
+	if n := x.Doubled(); n > 0 {
+		t.Errorf("%d keys ran twice outside of their window", n)
+	}
+	if served < len(results)/2 {
+		t.Errorf("served %d of %d", served, len(results))
+	}
+}
+
+// What cannot take over leaves the one that runs as it is: another version of what is said, a
+// program that does not start, one that comes while the other ends.
+func TestUnfitSuccessors(t *testing.T) {
+	x := tier(t, 1, 1)
+	elder := startAll(t, x)[0]
+	c, err := link.Dial(link.Path(x.Limiters[0].Dir, "n0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Send(uint8(handover.Hello), []byte(`{"Format":2,"Name":"n0","Listen":"`+x.Limiters[0].Addr+`"}`))
+	if f, err := c.Read(); err != nil || f.Kind != uint8(handover.Deny) || !strings.Contains(string(f.Body), "format 2") {
+		t.Errorf("%+v, %v", f, err)
+	}
+	for _, noise := range []string{"", "x", "\xff\xff\xff\xff\xff\xff", "\x00\x00\x00\x02\x00\x00{}", "\x00\x00\x00\x01\x00\x09x"} {
+		raw, err := net.Dial("unix", link.Path(x.Limiters[0].Dir, "n0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Write([]byte(noise))
+		raw.Close()
+	}
+	bad := x.Limiters[0].Start(func(c map[string]any) { c["settings"] = map[string]any{} })
+	if err := bad.Wait(t); err == nil || !elder.Healthy() {
+		t.Error("a bad configuration starts")
+	}
+	load := x.Begin(50, func(n int) fleet.Req { return fleet.Req{Class: "read", Plan: "free", Customer: 1} })
+	x.Backends[0].Delay(300 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	results := load.End()
+	elder.Signal(syscall.SIGTERM)
+	late := x.Limiters[0].Start()
+	late.Await(t) // once the address is free
+	if late.Log("without the state") || !late.Log("phase serving") {
+		t.Error("it took over from one that ended")
+	}
+	judge(t, x, results)
+}
+
+// Callers who hold the console's connections, and a hundred at once, keep nobody from an answer,
+// and no req waits for them.
+func TestConsoleUnderLoad(t *testing.T) {
+	x := tier(t, 1, 2)
+	p := startAll(t, x)[0]
+	load := x.Begin(200, func(n int) fleet.Req { return fleet.Req{Class: "read", Plan: "free", Customer: uint64(n % 20)} })
+	for i := range 100 {
+		c, err := net.Dial("tcp", p.Console)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%3 == 0 {
+			fmt.Fprint(c, "GET /stats HTTP/1.1\r\nHos")
+		}
+	}
+	for range 10 {
+		begin := time.Now()
+		if !p.Healthy() || time.Since(begin) > time.Second {
+			t.Errorf("no yes within a second: %v", time.Since(begin))
+		}
+	}
+	results := load.End()
+	judge(t, x, results)
+	slow := 0
+	for _, r := range results {
+		if r.Took > 300*time.Millisecond {
+			slow++
+		}
+	}
+	if slow > len(results)/20 {
+		t.Errorf("%d of %d reqs took over 0.3 s", slow, len(results))
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -129,15 +129,16 @@
 
 // A Machine is one side of a takeover. The zero Machine is no use; see New.
 type Machine struct {
-	limits Limits
-	phase  Phase
-	until  time.Duration // of the phase, 0 for no bound
-	beat   time.Duration // heir: of the next one; elder: of the last one heard
-	looked time.Duration // elder: when it last looked for beats
-	fenced bool          // the other side is being ended
-	told   bool          // this process is to end
-	tries  int
-	out    []Effect
+	limits  Limits
+	phase   Phase
+	until   time.Duration // of the phase, 0 for no bound
+	beat    time.Duration // heir: of the next one; elder: of the last one heard
+	looked  time.Duration // elder: when it last looked for beats
+	longest time.Duration // elder: the heir's longest silence
+	fenced  bool          // the other side is being ended
+	told    bool          // this process is to end
+	tries   int
+	out     []Effect
 }
 
 // New returns a Machine that is alone, or one that seeks an elder first; then the owner is
@@ -154,6 +155,9 @@
 // Phase tells the stage.
 func (m *Machine) Phase() Phase { return m.phase }
 
+// Silence is the heir's longest so far, as the elder heard it.
+func (m *Machine) Silence() time.Duration { return m.longest }
+
 // Admits tells whether this process may admit.
 func (m *Machine) Admits() bool { return m.phase == Alone || m.phase == Offered || m.phase == Owning }
 
@@ -207,12 +211,13 @@
 		m.do(Stop{}, Send{Transfer})
 	case m.phase == Transferring && k == Taken:
 		m.enter(Trial, now+m.limits.Trial)
-		m.beat, m.looked = now, now
+		m.beat, m.looked, m.longest = now, now, 0
 		m.do(Send{Commit}, Yield{})
 		if m.told {
 			m.commit()
 		}
 	case m.phase == Trial && k == Beat:
+		m.longest = max(m.longest, now-m.beat)
 		m.beat = now
 	case m.phase == Greeting && k == Offer:
 		// The elder bounds how long this may last; one that hangs still admits, as far as
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/fleet/fleet.go
@@ -1,7 +1,7 @@
-// Package proc plays limiters as processes of their own, with stand-ins for all that they meet:
+// Package fleet plays limiters as processes of their own, with stand-ins for all that they meet:
 // discovery, backends, clients and the network between limiters. The stand-ins judge: what they
 // saw, by one clock, counts, and never a limiter's own word.
-package proc
+package fleet
 
 import (
 	"bytes"
@@ -46,17 +46,16 @@
 	discovery *httptest.Server
 	mu        sync.Mutex
 	watches   []chan struct{}
-	list      []byte
-	version   int
+	keys      map[string]time.Time
+	doubled   int
 }
 
 // A Limiter is one of the tier, whatever processes it has.
 type Limiter struct {
-	Number  int
-	Addr    string // where clients connect
-	Dir     string // its TMPDIR
-	tier    *Tier
-	discovs string
+	Number int
+	Addr   string // where clients connect
+	Dir    string // its TMPDIR
+	tier   *Tier
 }
 
 // A Process is one process of a limiter.
@@ -69,7 +68,7 @@
 
 // New makes a tier that is not started. Everything ends with the test.
 func New(t testing.TB, limiters, backends int, program ...string) *Tier {
-	x := &Tier{T: t, Program: program, Sockets: 1024, MemoryMB: 192, Plans: []Plan{{Name: "free"}}}
+	x := &Tier{T: t, Program: program, Sockets: 1024, MemoryMB: 192, Plans: []Plan{{Name: "free"}}, keys: map[string]time.Time{}}
 	x.Net = newNet(t, limiters)
 	for i := range backends {
 		x.Backends = append(x.Backends, newBackend(x, i))
@@ -278,14 +277,18 @@
 	addr string
 	tier *Tier
 
-	mu    sync.Mutex
-	delay time.Duration
-	hang  bool
-	seen  map[string]int // attempts by X-Call-Id
-	keys  map[string]int // and by Idempotency-Key, repeats within its window left out
-	first []Seen
+	server *httptest.Server
+
+	mu     sync.Mutex
+	delay  time.Duration
+	seen   map[string]int // attempts by X-Call-Id
+	broken bool
+	first  []Seen
 }
 
+// window is how long all backends drop the repeats of a key.
+const window = 3 * time.Second
+
 // Seen is an attempt that came to a backend.
 type Seen struct {
 	At       time.Time
@@ -294,8 +297,9 @@
 }
 
 func newBackend(x *Tier, i int) *Backend {
-	b := &Backend{ID: fmt.Sprintf("b%d", i), tier: x, seen: map[string]int{}, keys: map[string]int{}}
+	b := &Backend{ID: fmt.Sprintf("b%d", i), tier: x, seen: map[string]int{}}
 	server := httptest.NewServer(b)
+	b.server = server
 	b.addr = strings.TrimPrefix(server.URL, "http://")
 	x.T.Cleanup(func() {
 		server.CloseClientConnections()
@@ -317,20 +321,54 @@
 	id, key := r.Header.Get("X-Call-Id"), r.Header.Get("Idempotency-Key")
 	b.mu.Lock()
 	b.seen[id]++
-	if key != "" {
-		b.keys[key]++
-	}
 	customer := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	b.first = append(b.first, Seen{time.Now(), id, customer})
 	delay := b.delay
 	b.mu.Unlock()
+	if key != "" {
+		b.tier.ran(key)
+	}
 	time.Sleep(delay)
+	b.mu.Lock()
+	broken := b.broken
+	b.mu.Unlock()
+	if broken { // with no answer
+		panic(http.ErrAbortHandler)
+	}
 	if b.tier.Util {
 		w.Header().Set("X-Load-Report", "TEXT util=0.3")
 	}
 	fmt.Fprintf(w, "%s %d", id, len(body))
 }
 
+// Break has the backend end all its connections with no answer, those that are open too.
+func (b *Backend) Break() {
+	b.mu.Lock()
+	b.broken = true
+	b.mu.Unlock()
+	b.server.CloseClientConnections()
+}
+
+// ran books an attempt under a key: within its window a repeat has no effect.
+func (x *Tier) ran(key string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, has := x.keys[key]
+	if has && time.Since(at) < window {
+		return
+	}
+	if x.keys[key] = time.Now(); has {
+		x.doubled++
+	}
+}
+
+// Doubled tells how many times a key had an effect more than once.
+func (x *Tier) Doubled() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.doubled
+}
+
 // Attempts tells how often each req came to the backends, and all of them in the order they came.
 func (x *Tier) Attempts() (byID map[string]int, first []Seen) {
 	byID = map[string]int{}
--- a/internal/lab/proc/load.go
+++ b/internal/lab/fleet/load.go
@@ -1,4 +1,4 @@
-package proc
+package fleet
 
 import (
 	"bufio"
--- a/internal/lab/proc/net.go
+++ b/internal/lab/fleet/net.go
@@ -1,4 +1,4 @@
-package proc
+package fleet
 
 import (
 	"math/rand/v2"
--- a/internal/lab/sim/backends.go
+++ b/internal/lab/sim/backends.go
@@ -178,6 +178,9 @@
 func (s *sim) relist() {
 	list := s.list()
 	for _, l := range s.limiters {
+		if o := l.kin.other; o != nil {
+			o.post(&reducer.Listed{Kind: lemongate.ListChanges, Entries: list})
+		}
 		l.post(&reducer.Listed{Kind: lemongate.ListChanges, Entries: list})
 	}
 }
--- a/internal/lab/sim/clients.go
+++ b/internal/lab/sim/clients.go
@@ -140,7 +140,7 @@
 	for i := range c.spread {
 		l := s.limiters[(c.first+(place+i)%c.spread)%s.sc.Limiters]
 		if l.core != nil {
-			return l
+			return l.process()
 		}
 	}
 	return nil
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lemongate"
+	"lemongate/internal/handover"
 	"lemongate/internal/reducer"
 )
 
@@ -89,6 +90,8 @@
 //	restart  Limiters are killed and back, empty, after Down; again each Every
 //	stall    Limiters stand still and take what came at the end
 //	clock    Limiters' clocks run Rate times as fast
+//	takeover a second process of Limiters takes over; the first is told to end after For, and
+//	         the one of them that Dies is killed Down after the begin; again each Every
 //	backend  Backends die, and come back cold at the end
 type Fault struct {
 	Kind     string  `json:"kind"`
@@ -100,6 +103,7 @@
 	Down     float64 `json:"down_s,omitempty"`
 	Every    float64 `json:"every_s,omitempty"`
 	Rate     float64 `json:"rate,omitempty"`
+	Dies     string  `json:"dies,omitempty"` // elder or heir
 }
 
 // start is the virtual time of a run's begin: clocks stand where the start of a
@@ -228,6 +232,7 @@
 	deaf    bool
 	group   int
 	pace    time.Duration // its intake of datagrams
+	kin     kin
 }
 
 // clock is the limiter's own time.
@@ -238,12 +243,20 @@
 func (l *limiter) boot() {
 	l.life++
 	s := l.sim
-	core, effects := reducer.New(l.clock(), reducer.Config{
-		Settings: s.settings(l.number), Seed: s.random.Uint64(), Known: s.list(),
-	})
+	c := reducer.Config{Settings: s.settings(l.number), Seed: s.random.Uint64(), Known: s.list()}
+	if s.sc.takesOver() {
+		limits := handover.DefaultLimits()
+		c.Takeover, c.Settings.Epoch = &limits, s.epoch()
+	}
+	core, effects := reducer.New(l.clock(), c)
 	l.core = core
 	l.carry(effects)
-	l.step(&reducer.Listed{Kind: lemongate.ListFull, Entries: s.list()})
+	if c.Takeover != nil && l.kin.other == nil {
+		l.step(reducer.KinGone{Epoch: s.epoch()})
+	}
+	if l.kin.other == nil {
+		l.step(&reducer.Listed{Kind: lemongate.ListFull, Entries: s.list()})
+	}
 }
 
 // kill ends a limiter without a word. Its clients' sessions break: what it had
@@ -254,10 +267,12 @@
 	l.waiting = nil
 	s := l.sim
 	for key, c := range s.calls {
-		if key.limiter == l.number {
+		if c.limiter == l {
 			delete(s.calls, key)
 			c.lost = true
-			for _, f := range c.fetches {
+		}
+		for _, f := range c.fetches {
+			if f.limiter == l {
 				f.stop()
 			}
 		}
@@ -314,6 +329,8 @@
 					l.post(reducer.Ticked{})
 				}
 			})
+		default:
+			l.carryKin(e)
 		}
 	}
 }
@@ -346,7 +363,7 @@
 				continue
 			}
 			s.after(way, func() {
-				if to.deaf || to.core == nil {
+				if to = s.limiters[i]; to.deaf || to.core == nil {
 					return
 				}
 				if n.InPerS > 0 { // what comes faster is dropped, as a bucket of half a second
@@ -357,7 +374,12 @@
 					}
 					to.pace += seconds(1 / n.InPerS)
 				}
-				to.post(&reducer.Heard{From: from.number, Data: data})
+				hear := func() { s.limiters[i].post(&reducer.Heard{From: from.number, Data: data}) }
+				if to.kin.paused {
+					to.kin.queued = append(to.kin.queued, hear)
+					return
+				}
+				hear()
 			})
 		}
 	}
@@ -422,6 +444,11 @@
 		if f.Every > 0 && s.now+seconds(f.Every) <= start+seconds(f.At+f.For) {
 			s.after(seconds(f.Every), func() { s.fault(f) })
 		}
+	case "takeover":
+		each(func(l *limiter) { s.takeover(l, f) })
+		if f.Every > 0 && s.now+seconds(f.Every) < s.end {
+			s.after(seconds(f.Every), func() { s.fault(f) })
+		}
 	case "backend":
 		for _, n := range f.Backends {
 			if n >= 0 && n < len(s.backends) {
--- a/internal/node/kin.go
+++ b/internal/node/kin.go
@@ -295,8 +295,16 @@
 	}
 }
 
-// decode words a frame as an event.
-func decode(f link.Frame) (ev reducer.Event, err error) {
+// decode words a frame as an event, a session's as none.
+func decode(f link.Frame) (reducer.Event, error) {
+	ev, err := read(f)
+	if err != nil {
+		return nil, err
+	}
+	return ev, nil
+}
+
+func read(f link.Frame) (reducer.Event, error) {
 	switch f.Kind {
 	case uint8(handover.Transfer):
 		e := &reducer.KinHeard{Kind: handover.Transfer, Inherit: &reducer.Inherit{}, Sockets: f.Sockets}
--- a/internal/reducer/kin.go
+++ b/internal/reducer/kin.go
@@ -255,6 +255,7 @@
 			r.do(Share{Part: 1})
 			r.do(Await{})
 		case handover.Conclude:
+			r.do(Log{Text: "the successor serves for good; its longest silence was " + r.kin.Silence().Round(time.Millisecond).String()})
 			if r.phase < Closing {
 				r.enter(Closing)
 			}
@@ -333,7 +334,7 @@
 	}
 	q.relayed, q.maybe = true, true
 	ev := q.event.Request
-	ev.Budget = q.deadline + answerMargin - relayMargin - r.now
+	ev.Budget = q.deadline + answerMargin - r.now
 	r.do(KinRelay{Relayed{Request: ev, CallID: q.callID, Content: q.content}})
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -338,7 +338,9 @@
 		id: ev.ID, callID: ev.CallID, class: -1, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content,
 		remote: remote, event: ev,
 	}
-	if !remote {
+	if remote {
+		q.deadline -= relayMargin
+	} else {
 		r.count.Received++
 		r.pending++
 	}
@@ -359,10 +361,13 @@
 	}
 }
 
-// ask has the Gateway decide a req.
+// ask has the Gateway decide a req. It goes by the client's own time, and may tell repeats by it.
 func (r *Reducer) ask(q *req) {
 	event := q.event.Request
 	event.Budget = q.deadline + answerMargin - r.now
+	if q.remote {
+		event.Budget += relayMargin
+	}
 	r.tell(&event)
 }
 
--- a/snapshot_test.go
+++ b/snapshot_test.go
@@ -160,3 +160,22 @@
 		t.Errorf("the peers still see epoch %d", p.epoch)
 	}
 }
+
+// Whatever is given for a snapshot, it is refused or makes a Gateway that decides.
+func FuzzResume(f *testing.F) {
+	g := played(2).gates[0]
+	data, err := g.Snapshot()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"Print":1,"Gateway":{"classes":[null]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := Resume(g.set, 1, data)
+		if err != nil {
+			return
+		}
+		h.Handle(h.now, &Timer{Token: "beat"}, nil)
+		h.Handle(h.now, &Request{ID: 1 << 40, Class: "read", Plan: "small", Customer: "x", Units: 1, Budget: time.Second, Spread: 2}, nil)
+	})
+}
