--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -217,12 +217,16 @@
 		t.Error("a third process is offered a takeover as well")
 	}
 	h.Heard(0, Offer)
-	e.Heard(0, Prepared)
+	if effects := e.Heard(0, Prepared); len(effects) != 2 || effects[0] != (Stop{}) || effects[1] != (Send{Transfer}) {
+		t.Errorf("what is admitted behind the state is counted by nobody: %v", effects)
+	}
 	h.Heard(0, Transfer)
 	if e.Admits() || h.Admits() {
 		t.Error("somebody admits while the state is on its way")
 	}
-	e.Heard(0, Taken)
+	if effects := e.Heard(0, Taken); len(effects) != 2 || effects[0] != (Send{Commit}) || effects[1] != (Yield{}) {
+		t.Errorf("what comes from now on is decided by nobody: %v", effects)
+	}
 	h.Heard(0, Commit)
 	if e.Admits() || !h.Admits() || e.Phase() != Trial || h.Phase() != Owning {
 		t.Errorf("%v, %v", e.Phase(), h.Phase())
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,362 @@
+// Package lease has limiters agree on who does a task, with no disk: each task has a few
+// keepers among the limiters, and holds a lease who has the word of a majority of them. It does
+// no I/O, reads no clock, draws no random number of its own and starts no goroutine.
+//
+// The agreement is that of ballots, as in PaxosLease: a ballot is first promised, then
+// proposed. docs/design/leases.md has the argument for its safety, and each assumption.
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Limiter is the number of one limiter of the tier.
+type Limiter = uint16
+
+// A Ballot names one try to get or renew a lease. Later ones are greater.
+type Ballot struct {
+	Round uint32
+	Epoch uint32 // of the limiter's start, so that one life's ballots are not another's
+	By    Limiter
+}
+
+// Compare orders ballots.
+func (b Ballot) Compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Epoch, o.Epoch), cmp.Compare(b.By, o.By))
+}
+
+// A Kind is what a Message says.
+type Kind uint8
+
+const (
+	Prepare Kind = iota // contender: promise this ballot
+	Promise             // keeper: no lower one from now on, and this is what was accepted
+	Refuse              // keeper: a greater one was promised
+	Propose             // contender: it holds the lease
+	Accept              // keeper: noted
+	Release             // holder: it gives the lease back
+	Ask                 // keeper that started: what is known of tokens?
+	Tell                // limiter: this
+	NKinds
+)
+
+func (k Kind) String() string {
+	return [...]string{"prepare", "promise", "refuse", "propose", "accept", "release", "ask", "tell"}[k]
+}
+
+// A Message goes from one limiter to another, and may be lost, late, repeated and overtaken.
+type Message struct {
+	Kind   Kind
+	Task   uint32 // hash of its name
+	Ballot Ballot
+	Holder Limiter // Promise: of the lease that stands, if Stands
+	Life   uint32  // and which life of it
+	Stands bool    // and Tell: the sender keeps
+	Token  uint64  // Propose: the holder's; Promise: that of the lease that stands
+	Known  uint64  // the greatest token that the sender knows of
+}
+
+// Config is what a task is told, the same at all limiters but Self and Epoch.
+type Config struct {
+	Task    uint32
+	Self    Limiter
+	Epoch   uint32 // grows with each start of this limiter
+	Keepers []Limiter
+	Seekers int           // limiters that may want the lease; 0 counts as few
+	Length  time.Duration // of a lease
+	Drift   float64       // most that a clock's rate is off, as a part
+	Floor   uint64        // least token: the wall clock at the start, in ms
+}
+
+// Majority is how many keepers decide.
+func (c *Config) Majority() int { return len(c.Keepers)/2 + 1 }
+
+// Held is how long a holder may act, by its own clock, counted from before it said Prepare. It
+// ends before any keeper's Length does, whatever the two clocks' rates.
+func (c *Config) Held() time.Duration { return time.Duration(float64(c.Length) * (1 - 2*c.Drift)) }
+
+// An Envelope is a message and whom it goes to.
+type Envelope struct {
+	To      Limiter
+	Message Message
+}
+
+// A Keeper keeps one task for its tier.
+type Keeper struct {
+	Config
+	born     time.Duration
+	promised Ballot
+	accepted accepted
+	known    uint64
+	asked    time.Duration // when the others were asked last
+	told     []Limiter     // that answered since this start
+	sure     []Limiter     // of these, those that keep
+}
+
+// accepted is the lease that a keeper has noted.
+type accepted struct {
+	ballot Ballot
+	holder Limiter
+	life   uint32
+	token  uint64
+	until  time.Duration // 0 for none
+}
+
+// NewKeeper starts a keeper, empty. A lease that an earlier life of it noted may stand for its
+// whole length: it keeps out for that long, and until it has heard what tokens there were.
+func NewKeeper(c Config, now time.Duration) Keeper {
+	return Keeper{Config: c, born: now, asked: now - time.Hour, known: c.Floor}
+}
+
+// Keeps tells whether the keeper takes part yet. All that an earlier life noted has ended by its
+// Length. The greatest token that it noted is known to so many others that any majority with this
+// keeper has another one of which this one heard; or all others were heard, and nobody knows more.
+// Where neither comes, as keepers are gone for good, a majority's word is enough after restLengths:
+// then tokens grow by the wall clocks alone.
+func (k *Keeper) Keeps(now time.Duration) bool {
+	n := len(k.Keepers)
+	return now >= k.born+k.Length &&
+		(len(k.sure) >= n-k.Majority()+1 || len(k.told) >= n-1 ||
+			now >= k.born+restLengths*k.Length && len(k.told)+1 >= k.Majority())
+}
+
+const restLengths = 3
+
+// askEvery is how often a keeper that started asks what tokens there were, in parts of the length.
+const askEvery = 8
+
+// Tick asks the other keepers what it has to know, and tells when it wants to be called again;
+// 0 for never.
+func (k *Keeper) Tick(now time.Duration) (out []Envelope, due time.Duration) {
+	n := len(k.Keepers)
+	if len(k.sure) >= n-k.Majority()+1 || len(k.told) >= n-1 {
+		return nil, 0
+	}
+	if every := k.Length / askEvery; now >= k.asked+every {
+		k.asked = now
+		for _, to := range k.Keepers {
+			if to != k.Self && !slices.Contains(k.sure, to) {
+				out = append(out, Envelope{to, Message{Kind: Ask, Task: k.Task, Known: k.known}})
+			}
+		}
+	}
+	return out, k.asked + k.Length/askEvery
+}
+
+// Heard takes a message in and gives the answer, if there is one.
+func (k *Keeper) Heard(now time.Duration, from Limiter, m Message) (answer Message, ok bool) {
+	k.known = max(k.known, m.Known, m.Token)
+	answer = Message{Task: k.Task, Ballot: m.Ballot}
+	switch m.Kind {
+	case Ask:
+		answer.Kind, answer.Known, answer.Stands = Tell, k.known, k.Keeps(now)
+		return answer, true
+	case Tell:
+		if slices.Contains(k.Keepers, from) && from != k.Self {
+			if !slices.Contains(k.told, from) {
+				k.told = append(k.told, from)
+			}
+			if m.Stands && !slices.Contains(k.sure, from) {
+				k.sure = append(k.sure, from)
+			}
+		}
+		return answer, false
+	case Release:
+		if k.accepted.ballot == m.Ballot {
+			k.accepted.until = 0
+		}
+		return answer, false
+	case Prepare, Propose:
+	default:
+		return answer, false
+	}
+	if !k.Keeps(now) {
+		return answer, false
+	}
+	if m.Ballot.Compare(k.promised) < 0 {
+		answer.Kind, answer.Ballot, answer.Known = Refuse, k.promised, k.known
+		return answer, true
+	}
+	k.promised = m.Ballot
+	if m.Kind == Propose {
+		k.accepted = accepted{ballot: m.Ballot, holder: m.Ballot.By, life: m.Ballot.Epoch, token: m.Token, until: now + k.Length}
+		answer.Kind, answer.Known = Accept, k.known
+		return answer, true
+	}
+	answer.Kind, answer.Known = Promise, k.known
+	if a := k.accepted; a.until > now {
+		answer.Stands, answer.Holder, answer.Life, answer.Token = true, a.holder, a.life, a.token
+	}
+	return answer, true
+}
+
+// A Phase is a stage of a contender.
+type Phase uint8
+
+const (
+	Idle      Phase = iota // does not want the lease
+	Waiting                // wants it, and waits before the next try
+	Preparing              // has asked for promises
+	Proposing              // has them, and asks for acceptance
+)
+
+func (p Phase) String() string { return [...]string{"idle", "waiting", "preparing", "proposing"}[p] }
+
+// A Contender seeks a lease, and renews the one that it holds.
+type Contender struct {
+	Config
+	phase  Phase
+	wants  bool
+	round  uint32 // the greatest seen
+	ballot Ballot // of the try that is on
+	began  time.Duration
+	yes    []Limiter     // keepers that answered it well
+	known  uint64        // the greatest token that they, and all others, know of
+	next   time.Duration // of the next try, or of the end of the one that is on
+	fails  int           // tries in a row that came to nothing
+
+	offer uint64 // the token proposed
+	token uint64 // of the lease held
+	under Ballot // the ballot that it was last accepted under
+	until time.Duration
+}
+
+// NewContender returns one that wants nothing.
+func NewContender(c Config) Contender { return Contender{Config: c, known: c.Floor} }
+
+// Phase tells the stage of the try that is on.
+func (c *Contender) Phase() Phase { return c.phase }
+
+// Holds gives the lease's token and the instant at which nothing may be begun under it any
+// longer; it is false from that instant on.
+func (c *Contender) Holds(now time.Duration) (token uint64, until time.Duration, ok bool) {
+	return c.token, c.until, c.token > 0 && now < c.until
+}
+
+// Parts of the length: a lease that is held is renewed after renewAfter, a try lasts tryFor at
+// most, and the pauses between tries double from pauseLeast to pauseMost.
+const (
+	renewAfter = 0.4
+	tryFor     = 0.1
+	pauseLeast = 0.05
+	pauseMost  = 0.5
+	backoffs   = 4
+)
+
+// fewSeekers together make one try in some part of the length each; more of them as many as these.
+const fewSeekers = 8
+
+// crowd is by how much longer each waits, so that all together ask the keepers no more often.
+func (c *Contender) crowd() float64 { return max(float64(c.Seekers)/fewSeekers, 1) }
+
+func (c *Contender) part(p float64) time.Duration { return time.Duration(float64(c.Length) * p) }
+
+// Want sets whether the lease is wanted. One that is held and no longer wanted is given back.
+func (c *Contender) Want(now time.Duration, is bool, chance float64) (out []Envelope) {
+	if c.wants == is {
+		return nil
+	}
+	if c.wants = is; is {
+		c.phase, c.next, c.fails = Waiting, now+c.part((c.crowd()-1)*pauseMost*chance), 0
+		return nil
+	}
+	if _, _, held := c.Holds(now); held {
+		for _, to := range c.Keepers {
+			out = append(out, Envelope{to, Message{Kind: Release, Task: c.Task, Ballot: c.under, Known: c.known}})
+		}
+	}
+	c.phase, c.token, c.until = Idle, 0, 0
+	return out
+}
+
+// Tick does what is due, and tells when it wants to be called again; 0 for never. Chance, from 0
+// to 1, spreads the tries of many.
+func (c *Contender) Tick(now time.Duration, chance float64) (out []Envelope, due time.Duration) {
+	if c.token > 0 && now >= c.until {
+		c.token, c.until = 0, 0
+	}
+	if c.phase == Idle {
+		return nil, 0
+	}
+	if now >= c.next {
+		if c.phase == Waiting {
+			out = c.try(now)
+		} else { // the try came to nothing
+			c.failed(now, chance)
+		}
+	}
+	due = c.next
+	if c.token > 0 {
+		due = min(due, c.until)
+	}
+	return out, due
+}
+
+// try begins a ballot.
+func (c *Contender) try(now time.Duration) (out []Envelope) {
+	c.round++
+	c.ballot = Ballot{Round: c.round, Epoch: c.Epoch, By: c.Self}
+	c.phase, c.began, c.yes, c.next = Preparing, now, nil, now+c.part(tryFor)
+	return c.all(Message{Kind: Prepare, Task: c.Task, Ballot: c.ballot, Known: c.known})
+}
+
+func (c *Contender) all(m Message) (out []Envelope) {
+	for _, to := range c.Keepers {
+		out = append(out, Envelope{to, m})
+	}
+	return out
+}
+
+// failed puts the next try off. Who holds the lease tries again soon, while it stands.
+func (c *Contender) failed(now time.Duration, chance float64) {
+	wait := min(pauseLeast*float64(int(1)<<min(c.fails, backoffs)), pauseMost) * c.crowd()
+	if c.token > 0 {
+		wait = pauseLeast
+	}
+	c.fails++
+	c.phase, c.next = Waiting, now+c.part(wait*(0.5+chance))
+}
+
+// Heard takes a keeper's answer in.
+func (c *Contender) Heard(now time.Duration, from Limiter, m Message, chance float64) (out []Envelope) {
+	c.known = max(c.known, m.Known, m.Token)
+	c.round = max(c.round, m.Ballot.Round)
+	trying := c.phase == Preparing || c.phase == Proposing
+	switch {
+	case !trying || !slices.Contains(c.Keepers, from):
+	case m.Kind == Refuse && m.Ballot.Compare(c.ballot) > 0:
+		c.failed(now, chance)
+	case m.Ballot != c.ballot || slices.Contains(c.yes, from):
+	case m.Kind == Promise && c.phase == Preparing:
+		if m.Stands && (m.Holder != c.Self || m.Life != c.Epoch) { // another's, or an earlier life's
+			c.failed(now, chance)
+			// No more often than it may end: its holder would have to renew against all others.
+			c.next = max(c.next, now+c.part(pauseMost*c.crowd()*(0.5+chance)))
+			return nil
+		}
+		if c.yes = append(c.yes, from); len(c.yes) < c.Majority() {
+			return nil
+		}
+		c.phase, c.yes = Proposing, nil
+		if token, _, held := c.Holds(now); held {
+			c.offer = token
+		} else {
+			c.offer = c.known + 1
+		}
+		return c.all(Message{Kind: Propose, Task: c.Task, Ballot: c.ballot, Token: c.offer, Known: c.known})
+	case m.Kind == Accept && c.phase == Proposing:
+		if c.yes = append(c.yes, from); len(c.yes) < c.Majority() {
+			return nil
+		}
+		until := c.began + c.Held()
+		if now >= until { // it came too late to be of use
+			c.failed(now, chance)
+			return nil
+		}
+		c.token, c.under, c.until = c.offer, c.ballot, until
+		c.phase, c.next, c.fails = Waiting, c.began+c.part(renewAfter), 0
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,679 @@
+package lease
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that the verdict is the same every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed": "20261201", "rapid.nofailfile": "true", "rapid.checks": "1000", "rapid.steps": "120",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const length = time.Second
+
+// A node is a limiter of the world.
+type node struct {
+	config  Config
+	keeper  *Keeper // nil where it is none
+	seeks   Contender
+	dead    bool
+	stalled bool
+	rate    float64
+	offset  time.Duration
+	inbox   []arrived // while it stalls
+}
+
+type arrived struct {
+	from Limiter
+	m    Message
+}
+
+// A world has limiters, clocks and a network, and judges from outside.
+type world struct {
+	fail    func(format string, args ...any)
+	rng     *rand.Rand
+	now     time.Duration
+	nodes   []*node
+	way     []flying
+	keepers []Limiter
+	epoch   uint32
+	drift   float64 // what is assumed of clocks
+	floor   uint64  // of tokens, in place of the wall clock
+
+	loss, twice float64
+	late        time.Duration
+	cut         map[[2]int]bool
+
+	holder int // who holds it, as the world sees it; -1 for nobody
+	token  uint64
+	wins   int
+	free   time.Duration // since when nobody holds it
+	worst  time.Duration
+	sent   int
+}
+
+type flying struct {
+	at       time.Duration
+	from, to int
+	m        Message
+}
+
+func newWorld(fail func(string, ...any), seed uint64, limiters, keepers int) *world {
+	w := &world{
+		fail: fail, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, epoch: 100, drift: 0.01, holder: -1,
+		cut: map[[2]int]bool{}, late: 20 * time.Millisecond, free: time.Hour,
+	}
+	for i := range keepers {
+		w.keepers = append(w.keepers, Limiter(i))
+	}
+	for range limiters {
+		w.nodes = append(w.nodes, &node{rate: 1})
+	}
+	for i := range limiters {
+		w.boot(i)
+	}
+	return w
+}
+
+// boot starts a limiter, empty.
+func (w *world) boot(i int) {
+	w.epoch++
+	n := w.nodes[i]
+	n.dead, n.stalled, n.inbox = false, false, nil
+	n.config = Config{
+		Task: 7, Self: Limiter(i), Epoch: w.epoch, Keepers: w.keepers, Length: length, Drift: w.drift,
+		Floor: uint64(w.now / time.Millisecond), Seekers: len(w.nodes),
+	}
+	if w.floor > 0 {
+		n.config.Floor = w.floor
+	}
+	n.keeper = nil
+	if i < len(w.keepers) {
+		k := NewKeeper(n.config, w.clock(n))
+		n.keeper = &k
+	}
+	n.seeks = NewContender(n.config)
+}
+
+func (w *world) clock(n *node) time.Duration {
+	return n.offset + time.Duration(float64(w.now)*n.rate)
+}
+
+func (w *world) setRate(n *node, rate float64) {
+	was := w.clock(n)
+	n.rate = rate
+	n.offset += was - w.clock(n)
+}
+
+func (w *world) send(from int, out []Envelope) {
+	for _, e := range out {
+		w.sent++
+		times := 1
+		if w.rng.Float64() < w.twice {
+			times = 2
+		}
+		if from != int(e.To) && (w.rng.Float64() < w.loss || w.cut[[2]int{from, int(e.To)}]) {
+			times = 0
+		}
+		for range times {
+			way := time.Duration(0)
+			if from != int(e.To) {
+				way = time.Duration(w.rng.Int64N(int64(w.late))) + time.Millisecond
+			}
+			w.way = append(w.way, flying{w.now + way, from, int(e.To), e.Message})
+		}
+	}
+}
+
+func (w *world) hear(i int, from Limiter, m Message) {
+	n := w.nodes[i]
+	switch {
+	case n.dead:
+		return
+	case n.stalled:
+		n.inbox = append(n.inbox, arrived{from, m})
+		return
+	}
+	now := w.clock(n)
+	w.send(i, n.seeks.Heard(now, from, m, w.rng.Float64()))
+	if n.keeper != nil {
+		if answer, ok := n.keeper.Heard(now, from, m); ok {
+			w.send(i, []Envelope{{from, answer}})
+		}
+	}
+}
+
+func (w *world) tick(i int) {
+	n := w.nodes[i]
+	if n.dead || n.stalled {
+		return
+	}
+	out, _ := n.seeks.Tick(w.clock(n), w.rng.Float64())
+	w.send(i, out)
+	if n.keeper != nil {
+		out, _ := n.keeper.Tick(w.clock(n))
+		w.send(i, out)
+	}
+}
+
+func (w *world) wake(i int) {
+	n := w.nodes[i]
+	n.stalled = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, a := range inbox {
+		w.hear(i, a.from, a.m)
+	}
+}
+
+// pass lets time go by in steps, and looks who would act at each.
+func (w *world) pass(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += 2 * time.Millisecond
+		slices.SortStableFunc(w.way, func(a, b flying) int { return int(a.at - b.at) })
+		for len(w.way) > 0 && w.way[0].at <= w.now {
+			f := w.way[0]
+			w.way = w.way[1:]
+			w.hear(f.to, Limiter(f.from), f.m)
+		}
+		for i := range w.nodes {
+			w.tick(i)
+		}
+		w.judge()
+	}
+}
+
+// judge asks each limiter, a stalled one too, whether it would act now: by the instant that it was
+// given, and its own clock.
+func (w *world) judge() {
+	who := -1
+	for i, n := range w.nodes {
+		token, _, ok := n.seeks.Holds(w.clock(n))
+		if n.dead || !ok {
+			continue
+		}
+		if who >= 0 {
+			w.fail("%v: limiters %d and %d both hold the lease", w.now-time.Hour, who, i)
+		}
+		who = i
+		if token < w.token || token == w.token && w.holder != i && w.holder >= 0 {
+			w.fail("%v: limiter %d has token %d after %d", w.now-time.Hour, i, token, w.token)
+		}
+		if token > w.token {
+			w.wins++
+		}
+		w.token = token
+	}
+	if who >= 0 {
+		w.holder = who
+		w.worst = max(w.worst, w.now-w.free)
+		w.free = w.now
+	}
+}
+
+func (w *world) want(i int, is bool) {
+	if n := w.nodes[i]; !n.dead && !n.stalled {
+		w.send(i, n.seeks.Want(w.clock(n), is, w.rng.Float64()))
+	}
+}
+
+// Random kills, restarts, stalls, clocks, cuts, losses, repeats and lateness: at most one limiter
+// would act at any instant, and tokens only grow.
+func TestOneHolder(t *testing.T) {
+	wins := 0
+	rapid.Check(t, func(t *rapid.T) {
+		keepers := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "keepers")
+		w := newWorld(t.Fatalf, rapid.Uint64().Draw(t, "seed"), keepers+rapid.IntRange(0, 2).Draw(t, "more"), keepers)
+		for i := range w.nodes {
+			w.want(i, true)
+		}
+		w.pass(1500 * time.Millisecond)
+		any := func() int { return rapid.IntRange(0, len(w.nodes)-1).Draw(t, "limiter") }
+		pass := func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond) }
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": pass, "pass 2": pass, "pass 3": pass, "pass 4": pass, "pass 5": pass, "pass 6": pass,
+			"stall": func(t *rapid.T) { w.nodes[any()].stalled = true },
+			"wake":  func(t *rapid.T) { w.wake(any()) },
+			"kill":  func(t *rapid.T) { w.nodes[any()].dead = true },
+			"boot": func(t *rapid.T) {
+				i := any()
+				w.boot(i)
+				w.want(i, true)
+			},
+			"clock": func(t *rapid.T) {
+				w.setRate(w.nodes[any()], rapid.SampledFrom([]float64{0.99, 1, 1.01}).Draw(t, "rate"))
+			},
+			"offset": func(t *rapid.T) { w.want(any(), rapid.Bool().Draw(t, "wants")) },
+			"cut":    func(t *rapid.T) { w.cut[[2]int{any(), any()}] = rapid.Bool().Draw(t, "is") },
+			"net": func(t *rapid.T) {
+				w.loss = rapid.SampledFrom([]float64{0, 0.08, 0.4}).Draw(t, "loss")
+				w.twice = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "twice")
+				w.late = rapid.SampledFrom([]time.Duration{5, 50, 900, 5000}).Draw(t, "late") * time.Millisecond
+			},
+			"": func(t *rapid.T) { w.pass(2 * time.Millisecond) },
+		})
+		wins += w.wins
+	})
+	if wins < 1000 {
+		t.Errorf("the lease was won just %d times", wins)
+	}
+	t.Logf("won %d times", wins)
+}
+
+// soup plays a world with a trouble every now and then, many of them against who holds the lease.
+// Clocks are off by as much as the world assumes.
+func soup(w *world, lengths float64) {
+	for i := range w.nodes {
+		w.want(i, true)
+	}
+	for end := w.now + time.Duration(lengths*float64(length)); w.now < end; {
+		w.pass(time.Duration(w.rng.Int64N(int64(length) / 2)))
+		who := w.rng.IntN(len(w.nodes))
+		if w.holder >= 0 && w.rng.IntN(2) == 0 {
+			who = w.holder
+		}
+		switch n := w.nodes[who]; w.rng.IntN(9) {
+		case 0:
+			w.boot(who)
+			w.want(who, true)
+		case 1:
+			n.stalled = true
+		case 2:
+			for i := range w.nodes {
+				if w.nodes[i].stalled {
+					w.wake(i)
+				}
+			}
+		case 3: // hears nobody, and all hear it
+			for i := range w.nodes {
+				w.cut[[2]int{i, who}] = true
+			}
+		case 4: // is heard by nobody
+			for i := range w.nodes {
+				w.cut[[2]int{who, i}] = true
+			}
+		case 5, 6:
+			clear(w.cut)
+		case 7:
+			w.setRate(n, 1+w.drift*float64(w.rng.IntN(3)-1))
+		case 8:
+			w.loss = []float64{0, 0.08, 0.3}[w.rng.IntN(3)]
+			w.twice = []float64{0, 0.3}[w.rng.IntN(2)]
+			w.late = []time.Duration{5, 60, 250, 1200}[w.rng.IntN(4)] * time.Millisecond
+			w.want(who, false)
+			w.want(who, true)
+		}
+	}
+}
+
+// Long days with troubles aimed at the holder, with clocks that are off by a tenth.
+func TestTroubledDays(t *testing.T) {
+	wins := 0
+	for seed := range uint64(1200) {
+		keepers := []int{3, 5, 3, 1}[seed%4]
+		w := newWorld(t.Errorf, seed, keepers+int(seed%3), keepers)
+		w.drift = 0.1
+		for i := range w.nodes {
+			w.boot(i)
+		}
+		soup(w, 25)
+		if wins += w.wins; t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	if wins < 5000 {
+		t.Errorf("the lease was won just %d times", wins)
+	}
+	t.Logf("won %d times", wins)
+}
+
+// Tokens grow without any help of wall clocks, as long as no two keepers are empty at once.
+func TestTokensGrow(t *testing.T) {
+	wins := 0
+	for seed := range uint64(300) {
+		w := newWorld(t.Errorf, seed, 5, []int{3, 5}[seed%2])
+		w.floor = 1
+		for i := range w.nodes {
+			w.boot(i)
+			w.want(i, true)
+		}
+		w.pass(4 * length)
+		for range 12 {
+			w.loss = []float64{0, 0.3, 0.6}[w.rng.IntN(3)]
+			w.late = []time.Duration{5, 100, 2500}[w.rng.IntN(3)] * time.Millisecond
+			clear(w.cut)
+			lone := w.rng.IntN(len(w.keepers)) // a holder's acceptance may be with few keepers
+			for i := range w.nodes {
+				if w.rng.IntN(2) == 0 {
+					w.cut[[2]int{i, lone}] = true
+				}
+			}
+			if w.holder >= 0 {
+				w.want(w.holder, false)
+				w.want(w.holder, true)
+			}
+			w.pass(time.Duration(w.rng.Int64N(int64(2 * length))))
+			if empty := w.rng.IntN(len(w.keepers)); w.allKeep() {
+				w.boot(empty)
+				w.want(empty, true)
+			}
+			w.pass(time.Duration(w.rng.Int64N(int64(3 * length))))
+		}
+		if wins += w.wins; t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("won %d times", wins)
+}
+
+// allKeep tells whether no keeper is empty.
+func (w *world) allKeep() bool {
+	for _, k := range w.keepers {
+		if n := w.nodes[k]; !n.keeper.Keeps(w.clock(n)) {
+			return false
+		}
+	}
+	return true
+}
+
+// With nothing but some loss a task has a holder soon, keeps it, and has a new one soon after the
+// holder dies, is stopped or gives it back.
+func TestLiveness(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(t.Fatalf, seed, 7, 5)
+		w.loss = 0.078
+		for i := range w.nodes {
+			w.want(i, true)
+		}
+		w.pass(4 * length)
+		if w.holder < 0 || w.worst > 2500*time.Millisecond {
+			t.Fatalf("seed %d: holder %d, none for %v", seed, w.holder, w.worst)
+		}
+		first, wins := w.holder, w.wins
+		w.pass(10 * length)
+		if w.wins != wins {
+			t.Errorf("seed %d: the holder changed %d times with nothing but loss", seed, w.wins-wins)
+		}
+		w.worst = 0
+		w.nodes[first].dead = true
+		w.pass(5 * length)
+		if w.holder == first || w.worst > 3*length {
+			t.Errorf("seed %d: none for %v after the holder died", seed, w.worst)
+		}
+		w.worst = 0
+		w.nodes[w.holder].stalled = true
+		w.pass(5 * length)
+		if w.worst > 3*length {
+			t.Errorf("seed %d: none for %v after the holder stopped", seed, w.worst)
+		}
+		for i, n := range w.nodes {
+			if n.dead {
+				w.boot(i)
+			} else if n.stalled {
+				w.wake(i)
+			}
+		}
+		w.pass(3 * length)
+		w.worst = 0
+		w.want(w.holder, false)
+		w.pass(4 * length)
+		if w.worst > 2*length {
+			t.Errorf("seed %d: none for %v after the holder gave it back", seed, w.worst)
+		}
+	}
+}
+
+// All that there is restarts, one after another and at once: a holder comes again, with a greater
+// token.
+func TestRestarts(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t.Fatalf, seed, 5, 5)
+		w.loss = 0.05
+		start := func(i int) {
+			w.boot(i)
+			w.want(i, true)
+		}
+		for i := range w.nodes {
+			start(i)
+		}
+		w.pass(4 * length)
+		for round := range 3 {
+			before := w.token
+			for i := range w.nodes {
+				start(i)
+				w.pass([]time.Duration{0, 300 * time.Millisecond, 1200 * time.Millisecond}[round])
+			}
+			w.worst, w.free = 0, w.now
+			w.pass(6 * length)
+			if w.token <= before || w.worst > 4*length {
+				t.Errorf("seed %d, round %d: token %d after %d, none for %v", seed, round, w.token, before, w.worst)
+			}
+		}
+	}
+}
+
+// 300 limiters want the same task at once: it has one holder soon, and what they send is bounded.
+func TestManyContend(t *testing.T) {
+	w := newWorld(t.Fatalf, 3, 300, 5)
+	w.loss = 0.05
+	for i := range w.nodes {
+		w.want(i, true)
+	}
+	w.pass(3 * length)
+	if w.holder < 0 {
+		t.Fatal("no holder")
+	}
+	begun, wins := w.sent, w.wins
+	w.pass(3 * length)
+	if w.wins != wins {
+		t.Errorf("it changed hands %d times", w.wins-wins)
+	}
+	t.Logf("%d messages in the first three lengths, %d in the next, worst time without a holder %v", begun, w.sent-begun, w.worst)
+}
+
+// A clock that is off by more than is assumed breaks the promise, and the judge sees it.
+func TestJudgeSees(t *testing.T) {
+	seen := 0
+	for seed := range uint64(60) {
+		w := newWorld(func(string, ...any) { seen++ }, seed, 3, 3)
+		w.loss = 0.2
+		for i := range w.nodes {
+			w.want(i, true)
+		}
+		w.pass(3 * length)
+		if w.holder < 0 {
+			continue
+		}
+		w.setRate(w.nodes[w.holder], 0.6) // its lease seems to last longer
+		w.cut[[2]int{w.holder, (w.holder + 1) % 3}], w.cut[[2]int{w.holder, (w.holder + 2) % 3}] = true, true
+		w.pass(3 * length)
+	}
+	if seen == 0 {
+		t.Error("a clock of 0.6 was never seen to break anything: the judge is blind")
+	}
+}
+
+// A keeper that starts empty takes part only once it heard of every token that it may have noted:
+// here just one that knows of none can be heard.
+func TestEmptyKeeperStaysOut(t *testing.T) {
+	w := newWorld(t.Fatalf, 1, 3, 3)
+	w.floor = 1
+	for i := range w.nodes {
+		w.boot(i)
+	}
+	w.pass(1200 * time.Millisecond)
+	for i := range w.nodes {
+		w.cut[[2]int{i, 2}] = true // it misses what comes now
+	}
+	w.want(1, true)
+	w.pass(300 * time.Millisecond)
+	if w.holder != 1 {
+		t.Fatal("not won")
+	}
+	clear(w.cut)
+	w.nodes[1].dead = true
+	w.way = nil
+	w.boot(0)
+	w.want(0, true)
+	w.want(2, true)
+	w.pass(2500 * time.Millisecond) // the judge looks at tokens
+	if w.holder != 1 {
+		t.Errorf("limiter %d holds the lease by the word of one that knows no token", w.holder)
+	}
+}
+
+// A lease of an earlier life is another's: two processes of one limiter may run beside each other.
+func TestEarlierLife(t *testing.T) {
+	c := NewContender(Config{Self: 4, Epoch: 9, Keepers: []Limiter{0}, Length: length})
+	c.Want(0, true, 0)
+	c.Tick(0, 0)
+	for _, life := range []uint32{8, 9} {
+		d := c
+		out := d.Heard(0, 0, Message{Kind: Promise, Ballot: c.ballot, Stands: true, Holder: 4, Life: life, Token: 3}, 0)
+		if (len(out) > 0) != (life == 9) {
+			t.Errorf("a lease of life %d: %v", life, out)
+		}
+	}
+}
+
+// A small world is a state of three keepers and two contenders, with what is on its way.
+type small struct {
+	now      time.Duration
+	keepers  [3]Keeper
+	seekers  [2]Contender
+	way      []smallMessage
+	restarts int
+	token    uint64
+	holder   int
+}
+
+type smallMessage struct {
+	from, to Limiter
+	m        Message
+}
+
+func (s *small) clone() *small {
+	c := *s
+	c.way = slices.Clone(s.way)
+	for i := range c.keepers {
+		c.keepers[i].told, c.keepers[i].sure = slices.Clone(s.keepers[i].told), slices.Clone(s.keepers[i].sure)
+	}
+	for i := range c.seekers {
+		c.seekers[i].yes = slices.Clone(s.seekers[i].yes)
+	}
+	return &c
+}
+
+// States reached by every order in which messages come, are late or lost, time passes and a keeper
+// starts empty, as many of them as the limit lets in, deepest first: at most one contender holds the
+// lease, and tokens grow with each. LEMONGATE_LONG=1 walks through 4,000,000.
+func TestManyStates(t *testing.T) {
+	const unit, until, most, late, restarts = length / 2, 3, 6, 1, 1
+	limit := 60_000
+	if os.Getenv("LEMONGATE_LONG") != "" {
+		limit = 4_000_000
+	}
+	config := func(self Limiter, epoch uint32) Config {
+		return Config{Self: self, Epoch: epoch, Keepers: []Limiter{0, 1, 2}, Length: length, Floor: 1}
+	}
+	first := &small{holder: -1}
+	for i := range first.keepers {
+		k := NewKeeper(config(Limiter(i), 1), -length)
+		k.told, k.sure = []Limiter{7, 8}, []Limiter{7, 8} // in the middle of a day
+		first.keepers[i] = k
+	}
+	for i := range first.seekers {
+		first.seekers[i] = NewContender(config(Limiter(10+i), 1))
+		first.seekers[i].Want(0, true, 0)
+	}
+	send := func(s *small, from Limiter, out []Envelope) {
+		for _, e := range out {
+			if len(s.way) < most { // beyond that it is lost
+				s.way = append(s.way, smallMessage{from, e.To, e.Message})
+			}
+		}
+	}
+	seen, queue, held := map[string]bool{}, []*small{first}, 0
+	push := func(s *small) {
+		slices.SortFunc(s.way, func(a, b smallMessage) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+		s.way = slices.Compact(s.way)
+		holder := -1
+		for i := range s.seekers {
+			token, _, ok := s.seekers[i].Holds(s.now)
+			if !ok {
+				continue
+			}
+			if holder >= 0 {
+				t.Fatalf("both hold the lease: %+v", *s)
+			}
+			if holder = i; token < s.token || token == s.token && s.holder != i {
+				t.Fatalf("token %d of %d after %d of %d: %+v", token, i, s.token, s.holder, *s)
+			}
+			s.token, s.holder = token, i
+			held++
+		}
+		if key := fmt.Sprintf("%v", *s); !seen[key] && len(seen) < limit {
+			seen[key] = true
+			queue = append(queue, s)
+		}
+	}
+	for len(queue) > 0 {
+		s := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		for i, f := range s.way { // one comes; what never does is late until the end
+			c := s.clone()
+			c.way = slices.Delete(c.way, i, i+1)
+			if f.to < 3 {
+				if answer, ok := c.keepers[f.to].Heard(c.now, f.from, f.m); ok {
+					send(c, f.to, []Envelope{{f.from, answer}})
+				}
+			} else {
+				send(c, f.to, c.seekers[f.to-10].Heard(c.now, f.from, f.m, 0.5))
+			}
+			push(c)
+		}
+		if s.now < until*unit { // time passes, and both do what is due
+			c := s.clone()
+			c.now += unit
+			if len(c.way) > late {
+				c.way = c.way[len(c.way)-late:] // the rest is lost
+			}
+			for i := range c.seekers {
+				out, _ := c.seekers[i].Tick(c.now, 0.5)
+				send(c, Limiter(10+i), out)
+			}
+			push(c)
+		}
+		if s.restarts < restarts {
+			for i := range s.keepers {
+				c := s.clone()
+				c.restarts++
+				k := NewKeeper(config(Limiter(i), 2), c.now)
+				k.known, k.sure = c.keepers[i].known, []Limiter{7, 8} // what tokens there were it hears at once
+				c.keepers[i] = k
+				push(c)
+			}
+		}
+	}
+	if held < 100 {
+		t.Errorf("the lease was held in just %d states", held)
+	}
+	t.Logf("%d states, the lease held in %d steps", len(seen), held)
+}
