Never hand on an answer that came before its fetch's first byte was written

Observed: TestNothingFromBefore failed once on a busy machine: the copy of an answer was served to the next fetch. Excluded: the copy in a second segment (the stand-in writes it in one), a write before the reader had come to wait (the guard in conn.start held: not a byte was written). Cause: conn.answerBegins closes the connection, but http.Transport has the whole answer in its buffer by then, and its RoundTrip takes either that answer or the failed write, by chance (fetch.go, try).

Change: an answer with no byte of its fetch written is thrown away, and the fetch goes to another connection; probes likewise.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -334,6 +334,15 @@
 	if err != nil {
 		return p.broken(f), nil, nil
 	}
+	// What came before a byte was written answers another fetch. The connection is closed by then,
+	// but the transport may have the answer in its buffer, and hand it on before it sees that.
+	if c := f.conn.Load(); c != nil {
+		if any, _ := c.carried(f); !any {
+			c.Close()
+			resp.Body.Close()
+			return lemongate.Unreachable, nil, nil
+		}
+	}
 	if !ends(resp) { // before its Body is closed, which would read on
 		result := p.broken(f)
 		resp.Body.Close()
@@ -470,6 +479,10 @@
 		return lemongate.Unreachable, nil
 	}
 	defer resp.Body.Close()
+	if any, _ := on.carried(nil); !any { // as in try
+		on.Close()
+		return lemongate.Unreachable, nil
+	}
 	var body []byte
 	if err = errSpoilt; ends(resp) {
 		body, err = readBody(resp)
