Have one limiter try ejected backends for all, under a lease, and show it on processes

A trial goes out under the lease's token, and its end is looked at by the Gateway, by the reducer and at the first byte.

--- a/api.go
+++ b/api.go
@@ -119,8 +119,8 @@
 )
 
 // An Event is something that happened at the front door: one of *List,
-// *Request, *Outcome, *Timer, *Gone, *PeerMessage, *ProbeResult, *Started, Leaving, *Adopted
-// and Renewed.
+// *Request, *Outcome, *Timer, *Gone, *PeerMessage, *ProbeResult, *Started, Leaving, Trials,
+// *Adopted and Renewed.
 type Event interface{ event() }
 
 // A List brings news of the backends.
@@ -200,6 +200,11 @@
 // the customers' quotas is for the others until it starts again.
 type Leaving struct{}
 
+// Trials tells that one gateway tries ejected backends for all, and until which instant that is
+// this one. Without it each tries for itself.
+type Trials struct{ Until time.Duration }
+
+func (Trials) event()       {}
 func (Leaving) event()      {}
 func (*List) event()        {}
 func (*Request) event()     {}
@@ -219,6 +224,7 @@
 	Request RequestID
 	Backend string
 	GiveUp  time.Duration // clock time at which the attempt ends; 0 for the client's
+	Trial   bool          // of an ejected backend, for all gateways: see Trials
 }
 
 // Refuse answers a request: not served, and a new try does no harm.
@@ -299,6 +305,8 @@
 		g.hear(ev)
 	case Leaving:
 		g.leave()
+	case Trials:
+		g.tryUntil = ev.Until
 	case *Adopted:
 		g.adopt(ev)
 	case Renewed:
--- a/cmd/lemongate/main.go
+++ b/cmd/lemongate/main.go
@@ -53,6 +53,16 @@
 				Name: "check", Usage: "read the configuration, tell what it says, and exit",
 				Flags: []cli.Flag{operator}, Action: check,
 			},
+			{
+				Name: "leases", Usage: "ask a running limiter how the tasks stand that one limiter does at a time",
+				Flags: []cli.Flag{
+					&cli.StringFlag{
+						Name: "console", Usage: "the limiter's console `ADDRESS`", Required: true, Sources: cli.EnvVars("ROUTER_CONSOLE"),
+					},
+					&cli.BoolFlag{Name: "json", Usage: "as JSON"},
+				},
+				Action: leases,
+			},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"lemongate/internal/discovery"
+	"lemongate/internal/lease"
 	"lemongate/internal/reducer"
 	"lemongate/internal/wire"
 )
@@ -32,7 +33,8 @@
 	Peers      []netip.AddrPort // by the limiters' numbers
 	PeersAll   netip.AddrPort   // reaches all of them
 
-	Takeover *Takeover // nil for none
+	Takeover *Takeover       // nil for none
+	Leases   *lease.Settings // nil for none
 
 	Known      []reducer.Entry // the backends as last known
 	Generation int64           // of that list
@@ -196,5 +198,6 @@
 	return reducer.Config{
 		Settings: c.Settings.Settings, Seed: c.Seed, Known: c.Known, Discovery: c.Discovery, Publishes: c.Console != "",
 		Generation: c.Generation, Takeover: c.Takeover.limits(), Epoch: c.Settings.Epoch,
+		Leases: c.Leases,
 	}
 }
--- a/internal/config/takeover.go
+++ b/internal/config/takeover.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"cmp"
 	_ "embed"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,6 +14,7 @@
 
 	"lemongate/internal/handover"
 	"lemongate/internal/handover/link"
+	"lemongate/internal/lease"
 	"lemongate/internal/schema"
 )
 
@@ -33,6 +36,12 @@
 		SilenceMS int    `json:"silence_ms"`
 		TrialS    int    `json:"trial_s"`
 	} `json:"takeover"`
+	Leases struct {
+		On       bool     `json:"on"`
+		LengthMS int      `json:"length_ms"`
+		Keepers  int      `json:"keepers"`
+		Tasks    []string `json:"tasks"`
+	} `json:"leases"`
 }
 
 // Operator reads the operators' file into a configuration. With no path all that is set
@@ -60,9 +69,26 @@
 			Dir: t.Dir, Silence: time.Duration(t.SilenceMS) * time.Millisecond, Trial: time.Duration(t.TrialS) * time.Second,
 		}
 	}
+	if l := o.Leases; l.On {
+		c.Leases = &lease.Settings{
+			Tasks: l.Tasks, Keepers: cmp.Or(l.Keepers, leaseKeepers), Drift: leaseDrift,
+			Length: cmp.Or(time.Duration(l.LengthMS)*time.Millisecond, leaseLength),
+			Floor:  uint64(time.Now().UnixMilli()),
+		}
+		if len(c.Peers) == 0 && c.Settings.Gateways > 1 {
+			return errors.New("operators' file: /leases: there are no peers to agree with")
+		}
+	}
 	return nil
 }
 
+// Defaults of leases, and the rate that clocks are assumed to be off by at most.
+const (
+	leaseKeepers = 5
+	leaseLength  = 4 * time.Second
+	leaseDrift   = 0.01
+)
+
 // Path is where the processes of a limiter find each other.
 func (t *Takeover) Path(name string) string { return link.Path(filepath.Clean(t.Dir), name) }
 
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -13,10 +13,12 @@
 	"sync/atomic"
 	"time"
 
+	jsoniter "github.com/json-iterator/go"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"lemongate/internal/lease"
 	"lemongate/internal/reducer"
 )
 
@@ -51,6 +53,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthcheck", c.health)
 	mux.Handle("GET /stats", promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true}))
+	mux.HandleFunc("GET /leases", c.leases)
 	c.server = &http.Server{
 		Handler: mux, ReadTimeout: callWithin, WriteTimeout: callWithin, MaxHeaderBytes: maxHead,
 		ErrorLog: zap.NewStdLog(log.Named("console")),
@@ -105,6 +108,16 @@
 	w.Write([]byte("takes clients\n"))
 }
 
+// leases shows how the tasks stand that one limiter does at a time.
+func (c *Console) leases(w http.ResponseWriter, _ *http.Request) {
+	list := c.now.Load().Leases
+	if list == nil {
+		list = []lease.View{}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	jsoniter.NewEncoder(w).Encode(list)
+}
+
 var (
 	completed = prometheus.NewDesc("router_completed_total", "reqs served", []string{"lane"}, nil)
 	rejected  = prometheus.NewDesc("router_rejected_total", "reqs refused", []string{"lane"}, nil)
--- a/internal/fetch/conn.go
+++ b/internal/fetch/conn.go
@@ -15,6 +15,8 @@
 	// errStale ends a fetch that would begin on a kept connection that has ended
 	// or brought something nobody asked for. Not a byte of the fetch was written.
 	errStale = errors.New("connection no longer fit")
+	// errLate ends a fetch whose lease had ended before its first byte.
+	errLate = errors.New("lease ended")
 )
 
 // A conn is a connection to a backend. It knows whose req is on it and how far
@@ -148,11 +150,24 @@
 	case c.backend.dropped.Load():
 		c.broke = true
 		return errDropped
+	case c.owner.tooLate():
+		c.broke = true
+		return errLate
 	}
 	c.began = true
 	return nil
 }
 
+// tooLate tells whether the lease that a fetch goes out under has ended. The program may have stood
+// still since it was asked for, or waited for a connection.
+func (f *fetch) tooLate() bool {
+	if f == nil || f.before <= 0 || f.now() < f.before {
+		return false
+	}
+	f.late.Store(true)
+	return true
+}
+
 // empty tells whether nothing waits at the socket, not even its end. c.mu is held.
 func (c *conn) empty() bool {
 	var one [1]byte
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -61,6 +61,7 @@
 	MostConns      int           // to all backends together; 0 for no bound
 	AnswerWithin   time.Duration // overrides how long an answer may take from its first byte on
 	Post           func(reducer.Event)
+	Now            func() time.Duration // the clock that StartFetch's Before is of
 }
 
 // A Pool carries out all fetches and probes.
@@ -84,10 +85,13 @@
 type fetch struct {
 	backend *backend
 	cancel  context.CancelFunc
+	now     func() time.Duration
 	conn    atomic.Pointer[conn]
-	wrote   atomic.Bool // the req went whole into the connection's buffer
-	heard   atomic.Bool // the first byte of an answer came
-	stale   int         // connections that turned out unfit before a byte was written
+	wrote   atomic.Bool   // the req went whole into the connection's buffer
+	late    atomic.Bool   // its lease had ended before its first byte
+	heard   atomic.Bool   // the first byte of an answer came
+	before  time.Duration // no byte may be written from then on; 0 for no bound
+	stale   int           // connections that turned out unfit before a byte was written
 }
 
 // New returns a Pool without connections.
@@ -117,7 +121,7 @@
 func (p *Pool) Start(e reducer.StartFetch) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.mu.Lock()
-	f := &fetch{backend: p.backend(e.Backend, e.Addr), cancel: cancel}
+	f := &fetch{backend: p.backend(e.Backend, e.Addr), cancel: cancel, before: e.Before, now: p.opt.Now}
 	p.fetches[e.Fetch] = f
 	p.mu.Unlock()
 	go p.run(ctx, f, e)
@@ -267,7 +271,7 @@
 	if wanted {
 		p.opt.Post(&reducer.FetchEnded{
 			Fetch: e.Fetch, Result: result, Report: report, Reply: reply,
-			Spoilt: result == lemongate.Broken && f.heard.Load(), Stale: f.stale,
+			Spoilt: result == lemongate.Broken && f.heard.Load(), Stale: f.stale, Late: f.late.Load(),
 		})
 	}
 }
@@ -328,7 +332,7 @@
 	})
 	in := e.Content.(*Req)
 	resp, err := f.backend.transport.RoundTrip(request(ctx, in, e))
-	if errors.Is(err, errTooMany) || errors.Is(err, errDropped) {
+	if errors.Is(err, errTooMany) || errors.Is(err, errDropped) || f.late.Load() {
 		return lemongate.NotSent, nil, nil
 	}
 	if err != nil {
@@ -379,6 +383,9 @@
 		"X-Budget":   {strconv.FormatInt(max(e.Wait.Milliseconds(), 1), 10) + "m"},
 		"User-Agent": nil, // none, rather than Go's own
 	}
+	if e.Token > 0 {
+		h["X-Lease-Token"] = []string{strconv.FormatUint(e.Token, 10)}
+	}
 	if in.Key != "" {
 		h["Idempotency-Key"] = []string{in.Key}
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -284,6 +285,13 @@
 	seen   map[string]int // attempts by X-Call-Id
 	broken bool
 	first  []Seen
+	acts   []Act
+}
+
+// An Act is an attempt that came under a lease.
+type Act struct {
+	At    time.Time
+	Token uint64
 }
 
 // window is how long all backends drop the repeats of a key.
@@ -321,6 +329,9 @@
 	id, key := r.Header.Get("X-Call-Id"), r.Header.Get("Idempotency-Key")
 	b.mu.Lock()
 	b.seen[id]++
+	if token, err := strconv.ParseUint(r.Header.Get("X-Lease-Token"), 10, 64); err == nil {
+		b.acts = append(b.acts, Act{time.Now(), token})
+	}
 	customer := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	b.first = append(b.first, Seen{time.Now(), id, customer})
 	delay := b.delay
@@ -341,6 +352,38 @@
 	fmt.Fprintf(w, "%s %d", id, len(body))
 }
 
+// Down has nobody listen at the backend's address, or the backend again.
+func (b *Backend) Down(is bool) {
+	if is {
+		b.server.Listener.Close()
+		b.server.CloseClientConnections()
+		return
+	}
+	l, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		b.tier.T.Errorf("backend: %v", err)
+		return
+	}
+	again := &httptest.Server{Listener: l, Config: &http.Server{Handler: b}}
+	again.Start()
+	b.tier.T.Cleanup(func() {
+		again.CloseClientConnections()
+		again.Close()
+	})
+	b.server = again
+}
+
+// Acts are all attempts that came to backends under a lease, in the order they came.
+func (x *Tier) Acts() (list []Act) {
+	for _, b := range x.Backends {
+		b.mu.Lock()
+		list = append(list, b.acts...)
+		b.mu.Unlock()
+	}
+	slices.SortStableFunc(list, func(a, b Act) int { return a.At.Compare(b.At) })
+	return list
+}
+
 // Break has the backend end all its connections with no answer, those that are open too.
 func (b *Backend) Break() {
 	b.mu.Lock()
--- a/internal/node/kin.go
+++ b/internal/node/kin.go
@@ -374,7 +374,9 @@
 		}
 		n.peers = peer.On(c.(*net.UDPConn), n.conf.Peers, n.conf.PeersAll, n.post, n.log)
 	}
-	n.clock = clockAt(e.Now)
+	clock := clockAt(e.Now)
+	n.clock = clock
+	n.wall.Store(&clock)
 	n.serve(l, e.Last, e.Source, e.Generation)
 	n.front.Share(0.5)
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,6 +86,7 @@
 	edges    sync.WaitGroup
 	share    func(part float64)
 	kin      kin
+	wall     atomic.Pointer[Clock] // the clock, for those beside the loop
 }
 
 // Controls tell a running program what to do, by a value from a channel.
@@ -103,6 +105,7 @@
 		conf: c, load: controls.Load, clock: clock, log: log, events: make(chan reducer.Event, inbox), done: make(chan struct{}),
 		timer: time.NewTimer(time.Hour), failed: make(chan error, 4), share: controls.Share, serving: make(chan struct{}),
 	}
+	n.wall.Store(&clock)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	defer n.close()
 	n.open()
@@ -134,7 +137,7 @@
 	n.fetches = fetch.New(fetch.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Settings.IdleClose,
 		Fields: c.Settings.ReportFields, IdlePerBackend: spares(float64(c.Limits.Sockets), c.Settings.Gateways),
-		MostConns: int(float64(c.Limits.Sockets) * fetchPart), Post: n.post,
+		MostConns: int(float64(c.Limits.Sockets) * fetchPart), Post: n.post, Now: n.since,
 	})
 	if c.Console != "" {
 		n.console = console.New(n.fetches.Wrote, n.log)
@@ -216,6 +219,9 @@
 	}
 }
 
+// since is the program's time, for those beside the loop: a takeover sets the clock.
+func (n *Node) since() time.Duration { return n.wall.Load().Now() }
+
 // post hands an event to the loop.
 func (n *Node) post(ev reducer.Event) {
 	select {
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -66,6 +66,7 @@
 	Report []float64
 	Reply  Content
 	Spoilt bool // an answer had begun that cannot be read, does not end or cannot be told whole
+	Late   bool // with NotSent: the lease that it was to go out under had ended
 	Stale  int  // connections found unfit before a byte was written there
 }
 
@@ -144,6 +145,11 @@
 	Addr    string
 	Wait    time.Duration
 	Content Content
+
+	// Of what is done under a lease: its token, for the backend, and the instant from which on
+	// no byte of the req may be written any longer. Zero without one.
+	Token  uint64
+	Before time.Duration
 }
 
 // StopFetch gives a fetch up: its connection is closed, its outcome no longer
--- a/internal/reducer/figures.go
+++ b/internal/reducer/figures.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lemongate"
+	"lemongate/internal/lease"
 )
 
 // figuresEvery is how old the figures handed out may be while anything happens. Readers
@@ -22,6 +23,7 @@
 	Pending     int    // reqs taken and not answered
 	Members     int    // backends in the list, those that drain too
 	Unavailable int    // of these, those that drain or that the Gateway leaves alone now
+	Leases      []lease.View
 }
 
 // Publish hands out the figures. They are the receiver's to keep.
@@ -61,7 +63,7 @@
 }
 
 func (r *Reducer) figures() Figures {
-	f := Figures{Lanes: append([]Lane(nil), r.lanes...), Members: len(r.backends), Pending: r.pending}
+	f := Figures{Lanes: append([]Lane(nil), r.lanes...), Members: len(r.backends), Pending: r.pending, Leases: r.Leases()}
 	for id, b := range r.backends {
 		if b.State != lemongate.Live || r.gate.Avoids(id) {
 			f.Unavailable++
--- a/internal/reducer/kin.go
+++ b/internal/reducer/kin.go
@@ -277,6 +277,7 @@
 // halt ends admitting: what has not been sent on waits for whoever admits next, and gives
 // back what it holds of its quota.
 func (r *Reducer) halt() {
+	r.unlend()
 	r.do(Pause{})
 	for _, q := range r.order() {
 		if !q.answered && q.attempts == 0 {
@@ -345,6 +346,7 @@
 	r.do(Unpause{})
 	r.do(Takes{Is: true})
 	r.phase = Serving
+	r.lend()
 	r.do(Log{Text: "this process serves on"})
 	if renew {
 		r.tell(lemongate.Renewed{Epoch: r.config.Epoch})
@@ -399,6 +401,7 @@
 	r.do(Share{Part: 0.5})
 	r.do(TakeOver{Sockets: r.kin.sockets, Now: x.Now, Source: x.Source, Generation: x.Generation, Last: r.last})
 	r.kin.sockets = nil
+	r.lend()
 	r.enter(Serving)
 	r.do(Takes{Is: true})
 }
@@ -419,6 +422,7 @@
 	r.timers.add(timer{at: r.now + settle, kind: settleTimer})
 	r.generation = r.config.Generation
 	r.listed(&Listed{Kind: lemongate.ListCached, Entries: r.config.Known, Generation: r.config.Generation})
+	r.lend()
 }
 
 // adopt books an attempt of the elder's.
--- /dev/null
+++ b/internal/reducer/leases.go
@@ -0,0 +1,114 @@
+package reducer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lemongate"
+	"lemongate/internal/lease"
+)
+
+// This file is the reducer's side of leases: tasks that one limiter of the tier does at a time.
+
+// Trials is the task of trying ejected backends: one limiter tries for all, and what it finds the
+// others hear as they hear of all that is seen of backends.
+const Trials = "trials"
+
+// leases is what a reducer has of them; the agent is nil where there are none, or where another
+// process of this limiter has them.
+type leases struct {
+	agent  *lease.Agent
+	random *rand.Rand // spreads the tries of many
+	due    time.Duration
+	trials time.Duration // until when the Gateway was told that it may try
+}
+
+func (r *Reducer) chance() float64 { return r.leases.random.Float64() }
+
+// lend starts with nothing known of leases, and wants those of the tasks that are on.
+func (r *Reducer) lend() {
+	if r.config.Leases == nil || r.set.Gateways < 1 {
+		return
+	}
+	s := *r.config.Leases
+	s.Self, s.Limiters, s.Epoch = r.set.Self, r.set.Gateways, r.config.Epoch
+	r.leases.random = rand.New(rand.NewPCG(r.config.Seed, uint64(r.config.Epoch)))
+	r.leases.agent = lease.NewAgent(s, r.now)
+	for _, name := range s.Tasks {
+		r.mail(r.leases.agent.Want(r.now, name, true, r.chance))
+	}
+	r.tell(lemongate.Trials{}) // not before the lease is held
+	r.lease()
+}
+
+// unlend gives all leases back: what this process did under them is over.
+func (r *Reducer) unlend() {
+	if r.leases.agent == nil {
+		return
+	}
+	for _, name := range r.config.Leases.Tasks {
+		r.mail(r.leases.agent.Want(r.now, name, false, r.chance))
+	}
+	r.leases.agent, r.leases.trials = nil, 0
+	r.tell(lemongate.Trials{})
+}
+
+// mail sends what is to be said of leases.
+func (r *Reducer) mail(out []lease.Envelope) {
+	for _, e := range out {
+		r.count.PeerOut++
+		r.do(Tell{Peer: int(e.To), Data: e.Message.Append(nil)})
+	}
+}
+
+// heardLease takes a datagram about leases in.
+func (r *Reducer) heardLease(ev *Heard) {
+	m, ok := lease.Parse(ev.Data)
+	if !ok || ev.From < 0 || ev.From >= r.set.Gateways || ev.From == r.set.Self {
+		r.count.PeerBad++
+		return
+	}
+	r.count.PeerIn++
+	if r.leases.agent != nil {
+		r.mail(r.leases.agent.Heard(r.now, lease.Limiter(ev.From), m, r.chance))
+		r.lease()
+	}
+}
+
+// lease does what is due, and tells the Gateway until when it may try ejected backends.
+func (r *Reducer) lease() {
+	a := r.leases.agent
+	if a == nil {
+		return
+	}
+	out, due := a.Tick(r.now, r.chance)
+	r.mail(out)
+	if due > 0 && due != r.leases.due {
+		r.leases.due = due
+		r.timers.add(timer{at: due, kind: leaseTimer})
+	}
+	if _, until, ok := a.Holds(r.now, Trials); ok && until != r.leases.trials {
+		r.leases.trials = until
+		r.tell(lemongate.Trials{Until: until})
+	}
+}
+
+// underLease gives the token of a trial and the instant from which on it must not begin; false
+// where the lease has ended meanwhile.
+func (r *Reducer) underLease() (token uint64, until time.Duration, ok bool) {
+	if r.leases.agent == nil {
+		return 0, 0, false
+	}
+	if token, until, ok = r.leases.agent.Holds(r.now, Trials); !ok {
+		r.leases.agent.Late(Trials)
+	}
+	return token, until, ok
+}
+
+// Leases tells how the tasks stand.
+func (r *Reducer) Leases() []lease.View {
+	if r.leases.agent == nil {
+		return nil
+	}
+	return r.leases.agent.Views(r.now)
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -8,6 +8,7 @@
 
 	"lemongate"
 	"lemongate/internal/handover"
+	"lemongate/internal/lease"
 	"lemongate/internal/peermsg"
 )
 
@@ -55,6 +56,7 @@
 	Generation int64            // of Known
 	Takeover   *handover.Limits // takes over from a process that runs, and lets a successor do so; nil for neither
 	Epoch      uint32           // of this start
+	Leases     *lease.Settings  // tasks that one limiter does at a time; nil for none
 }
 
 // A Reducer is the state of the program. It is not safe for concurrent use.
@@ -82,6 +84,7 @@
 
 	publishes  bool
 	kin        kin
+	leases     leases
 	config     Config
 	generation int64 // of the list
 	last       ReqID // the greatest that the front has given
@@ -234,6 +237,7 @@
 		for _, c := range r.set.Classes {
 			longest = max(longest, c.Deadline)
 		}
+		r.unlend()
 		if r.kin.yielded { // the limiter goes on
 			r.do(MoveSessions{})
 		} else {
@@ -267,6 +271,9 @@
 			r.enter(Serving)
 		case graceTimer:
 			r.enter(Closing)
+		case leaseTimer:
+			r.leases.due = 0
+			r.lease()
 		case kinTimer:
 			r.kin.due = 0
 			r.kinDo(r.kin.Tick(r.now))
@@ -303,6 +310,8 @@
 		return r.phase == Starting
 	case kinTimer:
 		return t.at == r.kin.due
+	case leaseTimer:
+		return t.at == r.leases.due && r.leases.agent != nil
 	}
 	return true
 }
@@ -460,6 +469,9 @@
 	switch ev.Result {
 	case lemongate.NotSent:
 		r.count.NotSent++
+		if ev.Late && r.leases.agent != nil {
+			r.leases.agent.Late(Trials)
+		}
 	case lemongate.Done:
 		r.answer(f.req, Answer{Kind: Served, Reply: ev.Reply})
 	case lemongate.Errored:
@@ -561,6 +573,10 @@
 // heard hands a datagram on. It may hold anything: what is not one of a peer's
 // messages is counted and dropped.
 func (r *Reducer) heard(ev *Heard) {
+	if lease.Is(ev.Data) {
+		r.heardLease(ev)
+		return
+	}
 	if _, ok := peermsg.Parse(ev.Data); !ok || ev.From < 0 || ev.From >= r.set.Gateways {
 		r.count.PeerBad++
 		return
@@ -643,8 +659,14 @@
 	if a.GiveUp > 0 {
 		until = min(until, a.GiveUp)
 	}
+	var token uint64
+	var before time.Duration
+	inTime := true
+	if a.Trial {
+		token, before, inTime = r.underLease()
+	}
 	unfit := b == nil || b.State != lemongate.Live || b.Addr == ""
-	if q.answered || until <= r.now || q.attempts > max(r.set.MaxAttempts, 1) || unfit {
+	if !inTime || q.answered || until <= r.now || q.attempts > max(r.set.MaxAttempts, 1) || unfit {
 		r.count.NotSent++
 		r.tell(&lemongate.Outcome{
 			Request: q.id, Attempt: id.Attempt, Backend: a.Backend, Result: lemongate.NotSent, Final: q.answered,
@@ -661,5 +683,5 @@
 	if r.kin.mute {
 		r.do(KinBegan{q.began(id, b.ID)})
 	}
-	r.do(StartFetch{Fetch: id, Backend: b.ID, Addr: b.Addr, Wait: until - r.now, Content: q.content})
+	r.do(StartFetch{Fetch: id, Backend: b.ID, Addr: b.Addr, Wait: until - r.now, Content: q.content, Token: token, Before: before})
 }
--- a/internal/reducer/timers.go
+++ b/internal/reducer/timers.go
@@ -21,6 +21,7 @@
 	fetchTimer                     // a fetch is not waited for any longer
 	settleTimer                    // ready, even if discovery is silent
 	graceTimer                     // after SIGTERM: accept nothing more
+	leaseTimer                     // a lease has something due
 	kinTimer                       // the takeover has something due
 	figuresTimer                   // figures changed since they were last published
 )
--- a/policy.go
+++ b/policy.go
@@ -316,7 +316,7 @@
 	g.sendRate.add(g.now, 1, g.memory)
 	r.start(b, g.now)
 	g.places(r.customer)
-	g.do(Send{Request: r.ID, Backend: b.ID, GiveUp: r.deadline})
+	g.do(Send{Request: r.ID, Backend: b.ID, GiveUp: r.deadline, Trial: g.alone() && g.due(b)})
 }
 
 // outcome books how an attempt ended and sees to the request's next step.
@@ -727,7 +727,7 @@
 		}
 		cost := g.cost(b) * g.doubt()
 		switch {
-		case b.ejected() && g.now >= b.until && len(b.open) == 0 && r.class.Effect == Safe && r.attempts == 0:
+		case g.due(b) && len(b.open) == 0 && r.class.Effect == Safe && r.attempts == 0:
 			cost = 0 // one safe request at a time: at low load it would never come back
 		case b.ejected():
 			cost += 1e6 // only when there is nothing else
@@ -837,7 +837,10 @@
 		return
 	}
 	wait := trialAims * g.aimLong.Seconds() * float64(int(1)<<min(b.doubts, trialDoubles))
-	wait *= max(g.sharers()/trialSenders, 1) * (1 + g.rng.Float64()) / 1.5
+	if !g.alone() {
+		wait *= max(g.sharers()/trialSenders, 1)
+	}
+	wait *= (1 + g.rng.Float64()) / 1.5
 	b.until = g.now + seconds(wait)
 	b.doubts++
 }
--- a/state.go
+++ b/state.go
@@ -19,7 +19,7 @@
 	g := &Gateway{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0)), peers: map[int]*peer{}, byName: map[string]*class{},
 		plans: map[string]int{}, requests: map[RequestID]*request{}, known: map[string]*backend{},
-		byKey: map[uint32]*backend{}, customers: map[string]*customer{},
+		byKey: map[uint32]*backend{}, customers: map[string]*customer{}, tryUntil: math.MaxInt64,
 	}
 	g.set.Gateways = max(set.Gateways, 1)
 	for _, c := range set.Classes {
@@ -95,6 +95,8 @@
 	retryMost         float64 `json:"-"` // saved up at most
 	sendRate          decayed // first and further attempts
 	watch             bool    // the list must be asked for
+
+	tryUntil time.Duration `json:"-"` // ejected backends may be tried until then; see Trials
 }
 
 type class struct {
@@ -343,6 +345,12 @@
 // ejected tells whether a backend is trusted with no more than trials.
 func (b *backend) ejected() bool { return b.until > 0 }
 
+// due tells whether an ejected backend is to be tried now, and by this gateway.
+func (g *Gateway) due(b *backend) bool { return b.ejected() && g.now >= b.until && g.now < g.tryUntil }
+
+// alone tells whether one gateway tries ejected backends for all.
+func (g *Gateway) alone() bool { return g.tryUntil != math.MaxInt64 }
+
 // trusted counts the backends that are not ejected and what is out at them.
 func (g *Gateway) trusted() (backends, open int) {
 	for _, b := range g.backends {
