--- a/cmd/lemonlab/main.go
+++ b/cmd/lemonlab/main.go
@@ -44,6 +44,7 @@
 				},
 				Action: run,
 			},
+			townCommand(),
 			{
 				Name: "schema", Usage: "print the JSON schema of an experiment",
 				Action: func(_ context.Context, cmd *cli.Command) error {
--- /dev/null
+++ b/cmd/lemonlab/town.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/urfave/cli/v3"
+
+	"lemongate/internal/lab/fleet"
+)
+
+// The town: three limiters and six backends on loopback.
+const (
+	townLimiters, townBackends = 3, 6
+	townAnswer                 = 30 * time.Millisecond // what a backend takes
+	slowest                    = 10 * time.Second      // that the histogram tells apart
+)
+
+// townCommand plays a small tier of real processes, so that one sees a limiter at work.
+func townCommand() *cli.Command {
+	return &cli.Command{
+		Name: "town", Usage: "play three limiters, six backends, discovery and clients on this machine, and kill a backend in the middle",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Usage: "how long", Value: 20 * time.Second},
+			&cli.Float64Flag{Name: "rate", Usage: "reqs a second of all clients", Value: 200},
+			&cli.StringFlag{Name: "program", Usage: "the limiter's `FILE`; by default lemongate beside this program"},
+		},
+		Action: town,
+	}
+}
+
+// errTown ends a town that could not go on; why was told.
+var errTown = errors.New("town: did not come to its end")
+
+// host is what the tier runs in: a command's stand-in for a test.
+type host struct {
+	out     io.Writer
+	mu      sync.Mutex
+	cleanup []func()
+	failed  bool
+}
+
+func (h *host) Helper() {}
+
+func (h *host) Fatal(args ...any) {
+	h.Errorf("%s", fmt.Sprint(args...))
+	panic(errTown)
+}
+
+func (h *host) Errorf(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed = true
+	fmt.Fprintf(h.out, format+"\n", args...)
+}
+
+func (h *host) Logf(format string, args ...any) { fmt.Fprintf(h.out, format+"\n", args...) }
+
+func (h *host) Failed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
+func (h *host) Cleanup(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cleanup = append(h.cleanup, f)
+}
+
+func (h *host) TempDir() string {
+	dir, err := os.MkdirTemp("", "lemonlab")
+	if err != nil {
+		h.Fatal(err)
+	}
+	h.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+
+// end ends all that was started, also after a panic or Ctrl-C.
+func (h *host) end() {
+	for i := len(h.cleanup) - 1; i >= 0; i-- {
+		h.cleanup[i]()
+	}
+}
+
+// tally is what came of the reqs of some time.
+type tally struct {
+	all, served, refused, failed, lost int
+	took                               *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	return &tally{took: hdrhistogram.New(1, slowest.Microseconds(), 3)}
+}
+
+func (y *tally) add(r fleet.Result) {
+	y.all++
+	switch {
+	case r.Status == 0:
+		y.lost++
+	case r.Status == 200:
+		y.served++
+		y.took.RecordValue(min(r.Took.Microseconds(), slowest.Microseconds()))
+	case r.Status == 429 || r.Status == 503:
+		y.refused++
+	default:
+		y.failed++
+	}
+}
+
+func (y *tally) row(what string, seconds float64, up int) string {
+	ms := func(q float64) float64 { return float64(y.took.ValueAtQuantile(q)) / 1e3 }
+	return fmt.Sprintf("%8s %8.0f %8d %8d %8d %6d %8.1f %8.1f %5d", what, float64(y.all)/seconds, y.served, y.refused, y.failed,
+		y.lost, ms(50), ms(99), up)
+}
+
+func town(ctx context.Context, cmd *cli.Command) (err error) {
+	program := cmd.String("program")
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		program = filepath.Join(filepath.Dir(self), "lemongate")
+	}
+	if _, err := os.Stat(program); err != nil {
+		return fmt.Errorf("town: %w", err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	out := cmd.Root().Writer
+	h := &host{out: out}
+	defer func() {
+		h.end()
+		if p := recover(); p != nil {
+			if p != any(errTown) {
+				panic(p)
+			}
+			err = errTown
+		}
+	}()
+	return play(ctx, h, out, program, cmd.Duration("for"), cmd.Float64("rate"))
+}
+
+// play is the town's day.
+func play(ctx context.Context, h *host, out io.Writer, program string, length time.Duration, rate float64) error {
+	x := fleet.New(h, townLimiters, townBackends, program, "serve", "--log-level", "error")
+	x.Plans = append(x.Plans, fleet.Plan{Name: "capped", Rate: rate / 10, Burst: rate / 5})
+	for _, b := range x.Backends {
+		b.Delay(townAnswer)
+	}
+	for _, l := range x.Limiters {
+		l.Start().Await(h)
+	}
+	fmt.Fprintf(out, "%d limiters, %d backends; a fifth of the reqs is one customer's, who asks for twice its quota\n", townLimiters, townBackends)
+	fmt.Fprintf(out, "%8s %8s %8s %8s %8s %6s %8s %8s %5s\n", "second", "req/s", "served", "refused", "failed", "lost", "p50 ms", "p99 ms", "up")
+	var mu sync.Mutex
+	second, whole := newTally(), newTally()
+	load := x.Begin(rate, func(n int) fleet.Req {
+		q := fleet.Req{Limiter: n % townLimiters, Class: "read", Plan: "free", Customer: uint64(100 + n%50), Spread: townLimiters}
+		switch n % 10 {
+		case 0, 5:
+			q.Plan, q.Customer = "capped", 7
+		case 3:
+			q.Class, q.Key, q.Body = "post", fmt.Sprintf("%032x", n), 500
+		}
+		return q
+	})
+	load.Each(func(r fleet.Result) {
+		mu.Lock()
+		defer mu.Unlock()
+		second.add(r)
+		whole.add(r)
+	})
+	up, begin := townBackends, time.Now()
+	kill, back := int(length.Seconds()/3), int(length.Seconds()*2/3)
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for n := 1; time.Since(begin) < length && ctx.Err() == nil; n++ {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+		mu.Lock()
+		fmt.Fprintln(out, second.row(fmt.Sprint(n), 1, up))
+		second = newTally()
+		mu.Unlock()
+		switch n {
+		case kill:
+			x.Backends[0].Down(true)
+			up--
+			fmt.Fprintln(out, "         a backend is killed")
+		case back:
+			x.Backends[0].Down(false)
+			up++
+			fmt.Fprintln(out, "         it is back")
+		}
+	}
+	load.End()
+	fmt.Fprintln(out, whole.row("in all", time.Since(begin).Seconds(), up))
+	if whole.lost > 0 {
+		return fmt.Errorf("town: %d reqs had no answer", whole.lost)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lemonlab/town_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The town plays to its end with every req answered, and says so a line a second.
+func TestTown(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "lemongate")
+	if out, err := exec.Command("go", "build", "-o", program, "lemongate/cmd/lemongate").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	var out bytes.Buffer
+	cmd := command()
+	cmd.Writer = &out
+	if err := cmd.Run(context.Background(), []string{"lemonlab", "town", "--for", "4s", "--program", program}); err != nil {
+		t.Errorf("%v\n%s", err, &out)
+	}
+	for _, want := range []string{"\n       1 ", "a backend is killed", "it is back", "  in all "} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, &out)
+		}
+	}
+	if err := command().Run(context.Background(), []string{"lemonlab", "town", "--program", "no such file"}); err == nil {
+		t.Error("a town without limiters")
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -19,10 +19,21 @@
 	"strings"
 	"sync"
 	"syscall"
-	"testing"
+
 	"time"
 )
 
+// A Host is what a tier runs in: a test, or a command.
+type Host interface {
+	Helper()
+	Fatal(args ...any) // does not return
+	Errorf(format string, args ...any)
+	Logf(format string, args ...any)
+	Failed() bool
+	Cleanup(func()) // the last one first
+	TempDir() string
+}
+
 // A Plan is one of the settings.
 type Plan struct {
 	Name           string
@@ -33,7 +44,7 @@
 
 // A Tier is some limiters with all that they meet.
 type Tier struct {
-	T        testing.TB
+	T        Host
 	Limiters []*Limiter
 	Net      *Net
 	Backends []*Backend
@@ -68,7 +79,7 @@
 }
 
 // New makes a tier that is not started. Everything ends with the test.
-func New(t testing.TB, limiters, backends int, program ...string) *Tier {
+func New(t Host, limiters, backends int, program ...string) *Tier {
 	x := &Tier{T: t, Program: program, Sockets: 1024, MemoryMB: 192, Plans: []Plan{{Name: "free"}}, keys: map[string]time.Time{}}
 	x.Net = newNet(t, limiters)
 	for i := range backends {
@@ -91,7 +102,7 @@
 }
 
 // freeAddr is an address on loopback that nobody listens on.
-func freeAddr(t testing.TB, network string) string {
+func freeAddr(t Host, network string) string {
 	if network == "udp" {
 		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		if err != nil {
@@ -226,13 +237,13 @@
 }
 
 // Await waits until the process takes clients, or ends the test.
-func (p *Process) Await(t testing.TB) {
+func (p *Process) Await(t Host) {
 	t.Helper()
 	Until(t, "a process that takes clients", p.Healthy)
 }
 
 // Until waits for something that comes soon, and ends the test if it does not.
-func Until(t testing.TB, what string, is func() bool) {
+func Until(t Host, what string, is func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -242,7 +253,7 @@
 }
 
 // Wait waits for the process's end.
-func (p *Process) Wait(t testing.TB) error {
+func (p *Process) Wait(t Host) error {
 	t.Helper()
 	select {
 	case err := <-p.Ended:
--- a/internal/lab/fleet/load.go
+++ b/internal/lab/fleet/load.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	idle    [][]*session // by limiter
 	Results []Result
+	each    func(Result)
 }
 
 // A Req is one to be sent.
@@ -65,6 +66,13 @@
 	return l
 }
 
+// Each hands each result on as it comes, in place of keeping it, and from any goroutine.
+func (l *Load) Each(f func(Result)) {
+	l.mu.Lock()
+	l.each = f
+	l.mu.Unlock()
+}
+
 func (l *Load) run() {
 	defer l.all.Done()
 	begin := time.Now()
@@ -81,8 +89,14 @@
 			defer l.all.Done()
 			res := l.one(n)
 			l.mu.Lock()
-			l.Results = append(l.Results, res)
+			each := l.each
+			if each == nil {
+				l.Results = append(l.Results, res)
+			}
 			l.mu.Unlock()
+			if each != nil {
+				each(res)
+			}
 		}()
 	}
 }
--- a/internal/lab/fleet/net.go
+++ b/internal/lab/fleet/net.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
-	"testing"
+
 	"time"
 
 	"lemongate/internal/peermsg"
@@ -14,7 +14,7 @@
 // A Net carries the datagrams between limiters, each pair over sockets of its own, and can
 // lose, delay, repeat and cut them. It reads of each which life of its sender it is of.
 type Net struct {
-	t    testing.TB
+	t    Host
 	real []string         // where the limiters listen
 	ways [][]*net.UDPConn // ways[i][j] is where i reaches j, and whence j hears of i is ways[j][i]
 
@@ -28,7 +28,7 @@
 	passed int
 }
 
-func newNet(t testing.TB, limiters int) *Net {
+func newNet(t Host, limiters int) *Net {
 	n := &Net{t: t, rng: rand.New(rand.NewPCG(1, 2)), cut: map[[2]int]bool{}}
 	for range limiters {
 		n.real = append(n.real, freeAddr(t, "udp"))
--- a/internal/lab/sim/takeover.go
+++ b/internal/lab/sim/takeover.go
@@ -35,7 +35,11 @@
 	heir.kin.link = l.kin.link
 	heir.boot()
 	if f.For > 0 {
-		s.after(seconds(f.For), func() { l.post(reducer.Terminated{}) })
+		s.after(seconds(f.For), func() {
+			if l.core != nil && l.core.Phase() == reducer.Handed { // else nobody said yes
+				l.post(reducer.Terminated{})
+			}
+		})
 	}
 	victim := map[string]*limiter{"elder": l, "heir": heir}[f.Dies]
 	if victim != nil {
