Give a body time by its length, behind its head, so that slow clients are served

Cause: the whole req had 2.5 s from its first byte (front.readBody), but a client may spend 2 s on the head and 64 kB a second on the body, so 3 s for one of 64 KiB; the head's own 2 s were up at the moment that it may take.

Change: a head has 2.5 s, a body its length at 64 KiB a second and one second more, from the head's end. Half a body of a bad client is found out sooner than before. TestSlowClient fails without the change.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -359,7 +359,7 @@
 	case !quotaOK:
 		return nil, &problem{reducer.BadQuota, http.StatusBadRequest, "bad Quota-Info", false}
 	}
-	body, err := readBody(r)
+	body, err := f.readBody(r)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, &problem{reducer.BadFraming, http.StatusRequestTimeout, "body did not come", true}
 	}
@@ -395,12 +395,15 @@
 
 // readBody reads a body whole. Its length is known, and within the bound; but
 // room is made for what has come, not for what is said to come.
-func readBody(r *http.Request) ([]byte, error) {
+func (f *Front) readBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	s := sessionOf(r)
-	s.SetReadDeadline(s.begun.Add(wholeWithin))
+	// By its length: a slow client may take seconds for a long one, and half of a short one is
+	// found out at once.
+	within := bodySlack + time.Duration(float64(r.ContentLength)/bodyPerSec*float64(time.Second))
+	s.SetReadDeadline(f.opt.Wall().Add(within))
 	body, err := io.ReadAll(r.Body)
 	if err == nil { // else net/http would wait here for the rest before it answers
 		s.SetReadDeadline(time.Time{}) // it goes on reading, to see a client leave
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -13,8 +13,10 @@
 
 // Times after which a client session is no use to a client that means well.
 const (
-	headWithin  = 2 * time.Second         // for a head to come whole, from the first byte or the start of the session
-	wholeWithin = 2500 * time.Millisecond // for a req to come whole, likewise; an error or a close is owed after 3 s
+	headWithin  = 2500 * time.Millisecond // for a head to come whole, from the first byte or the start of the session; a client may spend 2 s
+	wholeWithin = 2500 * time.Millisecond // for what is no req to come whole, likewise; an error or a close is owed after 3 s
+	bodyPerSec  = 64 << 10                // bytes of a body that come in a second at least
+	bodySlack   = time.Second             // beyond that, behind the head
 	idleAtLeast = 2 * time.Second         // a session between reqs may be closed after this
 	idleWithin  = 90 * time.Second        // and is closed after this, even where there is room
 	sweepEvery  = 500 * time.Millisecond
--- a/internal/front/sessions_test.go
+++ b/internal/front/sessions_test.go
@@ -1,12 +1,14 @@
 package front
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"lemongate/internal/fetch"
 	"lemongate/internal/reducer"
 )
 
@@ -149,3 +151,32 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A client may spend 2 s on a head and a second on a body of 64 KiB: it is served. The body's
+// time counts from the head's end, by its length.
+func TestSlowClient(t *testing.T) {
+	t.Parallel()
+	r := serve(t)
+	s := r.session(t)
+	const size = 60 << 10
+	head := goodHead + fmt.Sprintf("Content-Length: %d\n\n", size)
+	piece := len(head)/8 + 1
+	for i := 0; i < len(head); i += piece {
+		s.send(head[i:min(i+piece, len(head))])
+		time.Sleep(240 * time.Millisecond)
+	}
+	for range 10 {
+		s.send(strings.Repeat("x", size/10))
+		time.Sleep(90 * time.Millisecond)
+	}
+	first := <-r.events
+	ev, ok := first.(*reducer.Arrived)
+	if !ok {
+		t.Fatalf("a slow client was cut off: %+v", first)
+	}
+	if n := len(ev.Content.(*fetch.Req).Body); n != size {
+		t.Errorf("%d bytes", n)
+	}
+	r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Refused})
+	s.answer()
+}
