--- a/policy.go
+++ b/policy.go
@@ -67,7 +67,7 @@
 	stuckTimes   = 4.0  // mean latencies after which a silent backend's attempt is called off
 	coldMargin   = 0.9  // part of a cold backend's fair share that it is sent
 	coldFleet    = 0.5  // a fleet colder than this, for its size, is not sent all that a warm one was
-	keepLeast    = 12   // backends that a gateway keeps to at least: enough to go round one that fails
+	keepLeast    = 8    // backends that a gateway keeps to at least: enough to go round one that fails
 	keepTier     = 12.0 // gateways that keep to a backend at least; in a small tier all do
 	lookLeast    = 3    // backends to choose among, at random: all gateways would rush to the best one
 	lookFleet    = 4.0  // the same for all gateways together, in fleets: two see nearly all there is
--- a/state.go
+++ b/state.go
@@ -74,6 +74,8 @@
 	pause     time.Duration `json:"-"` // between any two messages, in a tier where no limiter has but a few peers
 	paced     time.Duration // when that allows the next ask
 	pacedAll  time.Duration // and when all messages, answers too, allow the next news
+	nextNews  time.Duration // when what only carries news may go, in a large tier
+	alarm     time.Duration // until when all of the pace is for news: a backend fails or recovers
 	probes    saved         // probes that may go
 	turned    Turned
 
@@ -157,6 +159,8 @@
 	heard time.Duration // when that was
 	told  int           // times still to be told
 
+	toldFails float64 // as it was when others had to know at once
+
 	reported bool // how busy it was at first is known
 }
 
@@ -397,9 +401,23 @@
 	g.by(max(p.due, p.paced))
 }
 
+// newsPauses is how many pauses of the pace pass, in a large tier, after any message until one goes that
+// carries nothing but news: most news rides on messages that go anyway, and for the rest alone each message
+// is paid for. 36 limiters sent 3.2 messages for each request, four in ten of them with news alone, and as
+// much came in time with 2.1.
+const newsPauses = 6
+
+// A failure share that is this far from what was told last is news that others must know at once, and
+// for alarmAims longest aims all of the pace is for it.
+const alarmFails, alarmAims = 0.25, 0.3
+
 // spread has a sight passed on.
 func (g *Gateway) spread(b *backend, at time.Duration) {
 	b.heard = at
+	if math.Abs(b.fails-b.toldFails) > alarmFails {
+		b.toldFails = b.fails
+		g.alarm = g.now + seconds(alarmAims*g.aimLong.Seconds())
+	}
 	if b.told == 0 {
 		g.news = append(g.news, b)
 		g.greet()
@@ -719,12 +737,16 @@
 	at, answers := g.paced, g.ledger.Owes(p.number)
 	if !answers && !g.ledger.Wants(p.number) {
 		at = max(at, g.pacedAll) + saved
+		if g.now >= g.alarm { // nothing that others must know at once
+			at = max(at, g.nextNews)
+		}
 	}
 	if g.now < at && !answers {
 		g.by(at)
 		return false
 	}
 	g.pacedAll = max(g.pacedAll, g.now-saved) + g.pause
+	g.nextNews = g.now + newsPauses*g.pause
 	if !answers {
 		g.paced = max(g.paced, g.now-saved) + g.pause
 	}
