Wait for the addresses of a process that dies while its successor says Hello

Observed: TestFailedElder/hello_end failed once in a clean clone: the successor ended with 'address already in use'. Cause: a process that dies gives its sockets up one after the other; its Unix socket's end was seen before its listener was closed, and a start from phase greeting did not wait (handover.Gone), nor did the peers' socket in any (node.start).

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -256,10 +256,7 @@
 	case Trial:
 		m.enter(Alone, 0)
 		m.do(Resume{Renew: true})
-	case Greeting:
-		m.enter(Alone, 0)
-		m.do(Start{})
-	case Receiving: // it was there a moment ago
+	case Greeting, Receiving: // who dies gives its sockets up one after the other, and may hold the address yet
 		m.enter(Alone, 0)
 		m.do(Start{Wait: true})
 	case Taking:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,31 +151,43 @@
 // start opens the sockets that the configuration names.
 func (n *Node) start(wait bool) error {
 	c := n.conf
-	listener, err := n.listen(wait)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	if c.PeerListen.IsValid() {
-		n.peers, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, n.post, n.log)
+	var listener net.Listener
+	err := n.take(wait, func() (err error) {
+		if listener, err = net.Listen("tcp", c.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		return nil
+	})
+	if err == nil && c.PeerListen.IsValid() {
+		err = n.take(wait, func() (err error) {
+			n.peers, err = peer.Listen(c.PeerListen, c.Peers, c.PeersAll, n.post, n.log)
+			return err
+		})
 		if err != nil {
 			listener.Close()
-			return err
 		}
 	}
+	if err != nil {
+		return err
+	}
 	n.serve(listener, 0, c.Discovery, c.Generation)
 	return nil
 }
 
-// listen takes the clients' address. With wait, one who holds it and is about to end is
-// waited for.
-func (n *Node) listen(wait bool) (net.Listener, error) {
-	until := time.Now().Add(addressWithin)
-	for {
-		l, err := net.Listen("tcp", n.conf.Listen)
-		if err == nil || !wait || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
-			return l, err
+// take opens an address. With wait, a process that holds it and is about to end is waited for;
+// there is nothing else to be done yet.
+func (n *Node) take(wait bool, open func() error) error {
+	begin := time.Now()
+	for told := false; ; time.Sleep(addressEvery) {
+		err := open()
+		past := time.Since(begin)
+		if err == nil || !wait || !errors.Is(err, syscall.EADDRINUSE) || past > addressWithin {
+			return err
+		}
+		if !told && past > time.Second {
+			told = true
+			n.log.Warn("waits for an address that another process holds", zap.Error(err))
 		}
-		time.Sleep(addressEvery) // nothing else is there to be done yet
 	}
 }
 
