--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"time"
@@ -101,22 +102,30 @@
 	return x
 }
 
-// freeAddr is an address on loopback that nobody listens on.
+// given counts the ports that freeAddr gave.
+var given atomic.Uint32
+
+// freeAddr is an address on loopback that nobody listens on, nor will: on an IP of this process's
+// own, so that no socket with a port of the kernel's choice takes it before a limiter does.
 func freeAddr(t Host, network string) string {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.1", 64+pid>>8&63, pid&255)
+	for range 1000 {
+		addr := fmt.Sprintf("%s:%d", ip, 10000+given.Add(1)%20000)
+		if network == "udp" {
+			if c, err := net.ListenPacket("udp4", addr); err == nil {
+				c.Close()
+				return addr
+			}
+			continue
+		}
+		if l, err := net.Listen("tcp4", addr); err == nil {
+			l.Close()
+			return addr
 		}
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free address")
+	return ""
 }
 
 func (x *Tier) instances() []map[string]any {
@@ -317,9 +326,14 @@
 
 func newBackend(x *Tier, i int) *Backend {
 	b := &Backend{ID: fmt.Sprintf("b%d", i), tier: x, seen: map[string]int{}}
-	server := httptest.NewServer(b)
+	b.addr = freeAddr(x.T, "tcp")
+	l, err := net.Listen("tcp4", b.addr)
+	if err != nil {
+		x.T.Fatal(err)
+	}
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: b}}
+	server.Start()
 	b.server = server
-	b.addr = strings.TrimPrefix(server.URL, "http://")
 	x.T.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
