--- a/internal/node/kin.go
+++ b/internal/node/kin.go
@@ -92,7 +92,8 @@
 // does the event.
 type kinEvent struct {
 	reducer.Event
-	from *link.Conn
+	from    *link.Conn
+	session []*os.File // a client session, in place of an event
 }
 
 // unwrap takes the wrapping off an event, and tells whether it counts.
@@ -101,6 +102,10 @@
 	if !ok {
 		return ev, true
 	}
+	if k.session != nil { // behind what was said before it: how many sessions there may be, for one
+		n.adopt(k.session)
+		return nil, false
+	}
 	if k.from != n.kin.link {
 		if h, ok := k.Event.(*reducer.KinHeard); ok && h.Sockets != nil {
 			closeAll(h.Sockets.([]*os.File))
@@ -226,7 +231,7 @@
 	c, err := link.Dial(n.kin.path)
 	if err != nil {
 		n.log.Debug("no process to take over from", zap.Error(err))
-		go n.post(kinEvent{reducer.KinGone{Epoch: epoch()}, nil}) // the loop may be in this very call
+		go n.post(kinEvent{Event: reducer.KinGone{Epoch: epoch()}}) // the loop may be in this very call
 		return
 	}
 	n.log.Info("takes over", zap.Int("from", c.PID()))
@@ -277,7 +282,7 @@
 	for {
 		f, err := c.Read()
 		if err != nil {
-			n.post(kinEvent{reducer.KinGone{Epoch: epoch()}, c})
+			n.post(kinEvent{Event: reducer.KinGone{Epoch: epoch()}, from: c})
 			c.Close()
 			return
 		}
@@ -288,10 +293,10 @@
 			continue
 		}
 		if f.Kind == frameSession {
-			n.adopt(f.Sockets)
+			n.post(kinEvent{from: c, session: f.Sockets})
 			continue
 		}
-		n.post(kinEvent{ev, c})
+		n.post(kinEvent{Event: ev, from: c})
 	}
 }
 
