Show on processes that a store is spent once over a takeover, and move the failing sides to the lab

Cause: with the guard out that hands the old process's reqs to the new one (reducer.arrived, halt), TestTakeoversUnderLoad still passed: its ceiling fills too fast to tell. Change: TestUnitsOnce counts at the backends what is sent on of a store that hardly fills; the sides of a takeover that fail at a step are stand-ins in internal/lab/fleet.

--- a/cmd/lemongate/takeover_test.go
+++ b/cmd/lemongate/takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -26,9 +25,9 @@
 		os.Args = append([]string{"lemongate"}, os.Args[1:]...)
 		main()
 	case "heir":
-		playHeir(script)
+		fleet.PlayHeir(script)
 	case "elder":
-		playElder(script)
+		fleet.PlayElder(script)
 	default:
 		os.Exit(m.Run())
 	}
@@ -464,113 +463,6 @@
 	})
 }
 
-// fail does what a script wants at its step, and does not return then.
-func fail(script, at string) {
-	step, how, _ := strings.Cut(script, ":")
-	if step != at {
-		return
-	}
-	fmt.Println("at", at)
-	switch how {
-	case "end":
-		os.Exit(1)
-	case "stop":
-		syscall.Kill(os.Getpid(), syscall.SIGSTOP)
-	}
-	select {}
-}
-
-// place is what the configuration says of the limiter's own place.
-func place() (path string, hello []byte, listen string) {
-	var c struct {
-		Name, Listen string
-		PeerListen   string `json:"peer_listen"`
-	}
-	data, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
-	if err == nil {
-		err = json.Unmarshal(data, &c)
-	}
-	if err != nil {
-		panic(err)
-	}
-	hello, _ = json.Marshal(map[string]any{"Format": 1, "Name": c.Name, "Listen": c.Listen, "Peers": c.PeerListen})
-	return link.Path(os.TempDir(), c.Name), hello, c.Listen
-}
-
-func hear(c *link.Conn, want handover.Kind) link.Frame {
-	for {
-		f, err := c.Read()
-		if err != nil {
-			os.Exit(3)
-		}
-		if f.Kind == uint8(want) {
-			return f
-		}
-	}
-}
-
-// playHeir is a successor that fails at a step.
-func playHeir(script string) {
-	path, hello, _ := place()
-	c, err := link.Dial(path)
-	if err != nil {
-		panic(err)
-	}
-	fail(script, "hello")
-	c.Send(uint8(handover.Hello), hello)
-	hear(c, handover.Offer)
-	fail(script, "offer")
-	c.Send(uint8(handover.Prepared), nil)
-	if strings.HasPrefix(script, "prepared") {
-		time.Sleep(5 * time.Millisecond) // written
-	}
-	fail(script, "prepared")
-	hear(c, handover.Transfer)
-	fail(script, "transfer")
-	c.Give(uint8(handover.Taken), nil)
-	fail(script, "taken")
-	hear(c, handover.Commit)
-	fail(script, "commit")
-	for range 5 {
-		c.Give(uint8(handover.Beat), nil)
-		time.Sleep(20 * time.Millisecond)
-	}
-	fail(script, "beats")
-}
-
-// playElder is one that runs already, takes no clients but holds their address, and fails at a
-// step.
-func playElder(script string) {
-	path, _, listen := place()
-	clients, err := net.Listen("tcp", listen)
-	if err != nil {
-		panic(err)
-	}
-	l, err := link.Listen(path)
-	if err != nil {
-		panic(err)
-	}
-	fmt.Println("ready")
-	c, err := l.Accept()
-	if err != nil {
-		panic(err)
-	}
-	fail(script, "listening")
-	hear(c, handover.Hello)
-	fail(script, "hello")
-	c.Give(uint8(handover.Offer), nil)
-	fail(script, "offer")
-	hear(c, handover.Prepared)
-	fail(script, "prepared")
-	c.Give(uint8(handover.Transfer), []byte(`{"Now":7200000000000}`), clients.(*net.TCPListener))
-	fail(script, "transfer")
-	hear(c, handover.Taken)
-	fail(script, "taken")
-	c.Give(uint8(handover.Commit), nil)
-	fail(script, "commit")
-	select {}
-}
-
 // Sessions of all kinds at the moment of the switch: used and idle, never used, and half a head
 // sent. Each goes on, and each req gets its answer.
 func TestSessionsOverTheSwitch(t *testing.T) {
@@ -746,3 +638,33 @@
 		t.Errorf("%d of %d reqs took over 0.3 s", slow, len(results))
 	}
 }
+
+// A store that hardly fills is spent once, whoever of the two processes its reqs come to: the old
+// one's sessions stay in use through a long trial, and new ones come to the new one.
+func TestUnitsOnce(t *testing.T) {
+	const burst = 60
+	x := tier(t, 1, 2)
+	x.Plans = append(x.Plans, fleet.Plan{Name: "capped", Rate: 0.5, Burst: burst})
+	old := startAll(t, x)[0]
+	for _, b := range x.Backends {
+		b.Delay(30 * time.Millisecond) // so that several sessions are in use
+	}
+	begin := time.Now()
+	load := x.Begin(100, func(n int) fleet.Req { return fleet.Req{Class: "read", Plan: "capped", Customer: 7} })
+	time.Sleep(250 * time.Millisecond)
+	for range 2 {
+		next := x.Limiters[0].Start()
+		next.Await(t)
+		time.Sleep(400 * time.Millisecond)
+		old.Signal(syscall.SIGTERM)
+		if err := old.Wait(t); err != nil {
+			t.Error(err)
+		}
+		old = next
+	}
+	judge(t, x, load.End())
+	byID, _ := x.Attempts()
+	if most := burst + int(0.5*time.Since(begin).Seconds()); len(byID) > most || len(byID) < burst*9/10 {
+		t.Errorf("%d reqs were sent on of a store of %d", len(byID), most)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/kin.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"lemongate/internal/handover"
+	"lemongate/internal/handover/link"
+)
+
+// This file plays one side of a takeover that fails at a step, as a process of its own: its
+// script is STEP:HOW, and how it fails is end, stop or hang.
+
+// fail does what a script wants at its step, and does not return then.
+func fail(script, at string) {
+	step, how, _ := strings.Cut(script, ":")
+	if step != at {
+		return
+	}
+	fmt.Println("at", at)
+	switch how {
+	case "end":
+		os.Exit(1)
+	case "stop":
+		syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+	}
+	select {}
+}
+
+// place is what the configuration says of the limiter's own place.
+func place() (path string, hello []byte, listen string) {
+	var c struct {
+		Name, Listen string
+		PeerListen   string `json:"peer_listen"`
+	}
+	data, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err == nil {
+		err = json.Unmarshal(data, &c)
+	}
+	if err != nil {
+		panic(err)
+	}
+	hello, _ = json.Marshal(map[string]any{"Format": 1, "Name": c.Name, "Listen": c.Listen, "Peers": c.PeerListen})
+	return link.Path(os.TempDir(), c.Name), hello, c.Listen
+}
+
+func hear(c *link.Conn, want handover.Kind) link.Frame {
+	for {
+		f, err := c.Read()
+		if err != nil {
+			os.Exit(3)
+		}
+		if f.Kind == uint8(want) {
+			return f
+		}
+	}
+}
+
+// PlayHeir is a successor that fails at a step.
+func PlayHeir(script string) {
+	path, hello, _ := place()
+	c, err := link.Dial(path)
+	if err != nil {
+		panic(err)
+	}
+	fail(script, "hello")
+	c.Send(uint8(handover.Hello), hello)
+	hear(c, handover.Offer)
+	fail(script, "offer")
+	c.Send(uint8(handover.Prepared), nil)
+	if strings.HasPrefix(script, "prepared") {
+		time.Sleep(5 * time.Millisecond) // written
+	}
+	fail(script, "prepared")
+	hear(c, handover.Transfer)
+	fail(script, "transfer")
+	c.Give(uint8(handover.Taken), nil)
+	fail(script, "taken")
+	hear(c, handover.Commit)
+	fail(script, "commit")
+	for range 5 {
+		c.Give(uint8(handover.Beat), nil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	fail(script, "beats")
+}
+
+// PlayElder is one that runs already, takes no clients but holds their address, and fails at a
+// step.
+func PlayElder(script string) {
+	path, _, listen := place()
+	clients, err := net.Listen("tcp", listen)
+	if err != nil {
+		panic(err)
+	}
+	l, err := link.Listen(path)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println("ready")
+	c, err := l.Accept()
+	if err != nil {
+		panic(err)
+	}
+	fail(script, "listening")
+	hear(c, handover.Hello)
+	fail(script, "hello")
+	c.Give(uint8(handover.Offer), nil)
+	fail(script, "offer")
+	hear(c, handover.Prepared)
+	fail(script, "prepared")
+	c.Give(uint8(handover.Transfer), []byte(`{"Now":7200000000000}`), clients.(*net.TCPListener))
+	fail(script, "transfer")
+	hear(c, handover.Taken)
+	fail(script, "taken")
+	c.Give(uint8(handover.Commit), nil)
+	fail(script, "commit")
+	select {}
+}
