Decide in one place which connection carries a fetch and whether it was given up

Observed by reading, then forced in tests: Stop looked for the connection and http.Transport's hook stored it in two steps, and the transport writes to a connection that it has got though the context has ended. A fetch given up in between could go out after Stop returned (fetch.go, Stop and GotConn), a second copy beside the next attempt. A fetch cancelled by Drop before it had a connection told Unreachable, which ejected the backend's next life at once. The last byte of a large body is at the socket before WroteRequest fires: an answer cut off in between counted as never run. A reset there is excluded: the transport waits for its write loop before it gives that error. Change: a fetch's lock owns its connection and givenUp; what comes late is closed unwritten. Dropped tells NotSent. A body read to its end counts as written.

--- a/internal/fetch/conn.go
+++ b/internal/fetch/conn.go
@@ -34,7 +34,8 @@
 	net.Conn
 	raw     syscall.RawConn
 	backend *backend
-	closed  func() // once
+	closed  func()      // once
+	wrote   func(n int) // so many bytes went to the socket
 
 	mu      sync.Mutex
 	turn    sync.Cond // the reader has come to wait, or the connection ended
@@ -47,12 +48,12 @@
 }
 
 // newConn wraps a connection of the system.
-func newConn(c *net.TCPConn, b *backend, closed func()) (*conn, error) {
+func newConn(c *net.TCPConn, b *backend, closed func(), wrote func(int)) (*conn, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	n := &conn{Conn: c, raw: raw, backend: b, closed: closed}
+	n := &conn{Conn: c, raw: raw, backend: b, closed: closed, wrote: wrote}
 	n.turn.L = &n.mu
 	return n, nil
 }
@@ -125,6 +126,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(data)
+	c.wrote(n)
 	if err != nil {
 		c.mu.Lock()
 		c.broke = true
--- /dev/null
+++ b/internal/fetch/crossing_test.go
@@ -0,0 +1,146 @@
+package fetch
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lemongate"
+	"lemongate/internal/reducer"
+)
+
+// next accepts a connection and gives all that comes on it until it ends.
+func next(t *testing.T, l net.Listener) <-chan string {
+	t.Helper()
+	all := make(chan string, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		data, _ := io.ReadAll(c)
+		all <- string(data)
+	}()
+	return all
+}
+
+// A fetch that is given up in the moment in which its connection is there sends nothing: the
+// transport goes on with a connection that it has got, whatever became of the context.
+func TestStopAsConnectionComes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	came := next(t, l)
+	p := pool(l.Addr().String())
+	defer p.Close()
+	p.hooks.got = func(id reducer.FetchID) { p.Stop(id) }
+	p.start(get)
+	if data := <-came; data != "" {
+		t.Errorf("sent after Stop: %q", data)
+	}
+	select {
+	case ev := <-p.events:
+		t.Errorf("posted %+v", ev)
+	default:
+	}
+}
+
+// Whatever the transport does with a connection that came too late, not a byte is written there.
+func TestNothingWrittenAfterStop(t *testing.T) {
+	c, far := pair(t)
+	f := &fetch{cancel: func() {}, backend: c.backend}
+	f.giveUp()
+	f.take(c)
+	go c.Read(make([]byte, 1))
+	if n, err := c.Write([]byte("GET")); n != 0 || err == nil {
+		t.Errorf("wrote %d bytes, %v", n, err)
+	}
+	c.Close()
+	if data, _ := io.ReadAll(far); len(data) > 0 {
+		t.Errorf("sent after Stop: %q", data)
+	}
+}
+
+// The same on a connection that was kept: nothing is sent, and it is not kept on.
+func TestStopAsKeptConnectionComes(t *testing.T) {
+	s := play(t, whole("200 OK", "", ""), whole("200 OK", "", ""))
+	p := pool(s.listener.Addr().String())
+	defer p.Close()
+	p.fetch(get)
+	<-s.reqs
+	p.hooks.got = func(id reducer.FetchID) { p.Stop(id) }
+	p.start(get)
+	if conn := <-s.ended; conn != 0 {
+		t.Errorf("connection %d ended", conn)
+	}
+	select {
+	case r := <-s.reqs:
+		t.Errorf("sent after Stop: %+v", r)
+	default:
+	}
+}
+
+// A backend that starts anew in the moment in which a connection to its earlier life is there is
+// sent nothing on it, and the fetch tells nothing against its new life.
+func TestDropAsConnectionComes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	came := next(t, l)
+	p := pool(l.Addr().String())
+	defer p.Close()
+	p.hooks.got = func(reducer.FetchID) { p.Drop("b") }
+	if got := p.fetch(get); got.Result != lemongate.NotSent {
+		t.Errorf("result %v", got.Result)
+	}
+	if data := <-came; data != "" {
+		t.Errorf("sent after Drop: %q", data)
+	}
+}
+
+// A large body's last byte goes to the socket before the transport says that the req was written. An
+// answer that breaks off in between is no proof that the req never ran.
+func TestCutOffBehindTheLastByte(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const size = 48 << 10
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			t.Errorf("no req: %v", err)
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ncut off")
+	}()
+	p := pool(l.Addr().String())
+	defer p.Close()
+	sent, ended := 0, make(chan bool)
+	p.hooks.wrote = func(n int) {
+		if sent += n; sent > size { // with the head that is all
+			<-ended // so the transport hears of it only after the fetch has ended
+		}
+	}
+	p.start(&Req{Method: "POST", URI: "/x", Host: "x", CallID: "1", Body: []byte(strings.Repeat("x", size))})
+	got := (<-p.events).(*reducer.FetchEnded)
+	close(ended)
+	if got.Result != lemongate.Broken {
+		t.Errorf("result %v of a req that came whole, want one that may have run", got.Result)
+	}
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -74,6 +74,14 @@
 	mu       sync.Mutex
 	backends map[string]*backend
 	fetches  map[reducer.FetchID]*fetch
+
+	hooks hooks
+}
+
+// hooks let tests hold the edges of a fetch against each other.
+type hooks struct {
+	got   func(reducer.FetchID) // a connection is there, and no byte of the fetch is written
+	wrote func(n int)           // so many bytes went to the socket
 }
 
 // A backend is one life of a backend at one address, with its connections.
@@ -86,14 +94,76 @@
 	backend *backend
 	cancel  context.CancelFunc
 	now     func() time.Duration
-	conn    atomic.Pointer[conn]
-	wrote   atomic.Bool   // the req went whole into the connection's buffer
-	late    atomic.Bool   // its lease had ended before its first byte
+	wrote   atomic.Bool   // the last byte of the req is on its way to the socket, or beyond
+	late    atomic.Bool   // the time for its first byte was over
 	heard   atomic.Bool   // the first byte of an answer came
-	before  time.Duration // no byte may be written from then on; 0 for no bound
+	before  time.Duration // no first byte may be written from then on; 0 for no bound
 	stale   int           // connections that turned out unfit before a byte was written
+
+	// Which connection carries the fetch and whether it was given up are one decision: http.Transport
+	// may hand over a connection, and write to it, after its context has ended.
+	mu      sync.Mutex
+	conn    *conn // the one that carries it
+	givenUp bool  // none may from now on
+}
+
+// take has a connection carry the fetch. One that comes after the fetch was given up is closed
+// before a byte is written.
+func (f *fetch) take(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.givenUp {
+		c.Close()
+		return
+	}
+	c.begin(f)
+	f.conn = c
 }
 
+// leave lets go of a connection that carried nothing.
+func (f *fetch) leave() {
+	f.mu.Lock()
+	f.conn = nil
+	f.mu.Unlock()
+}
+
+// on gives the connection that carries the fetch, nil if none does.
+func (f *fetch) on() *conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conn
+}
+
+// giveUp ends the fetch for good. No byte of it is written once it returns.
+func (f *fetch) giveUp() {
+	f.mu.Lock()
+	f.givenUp = true
+	c := f.conn
+	f.mu.Unlock()
+	f.cancel()
+	if c != nil {
+		c.giveUp(f)
+	}
+}
+
+// A body is a req's, as http.Transport reads it. Large ones go to the socket past the transport's
+// buffer, so their last byte may be there before WroteRequest tells so: what was read to its end
+// counts as written, unless the write fails.
+type body struct {
+	bytes.Reader
+	f *fetch
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if b.Len() == 0 {
+		b.f.wrote.Store(true)
+	}
+	return n, err
+}
+
+func (b *body) Close() error { return nil }
+
 // New returns a Pool without connections.
 func New(opt Options) *Pool {
 	if opt.ConnectTimeout <= 0 {
@@ -103,6 +173,7 @@
 		opt.AnswerWithin = answerWithin
 	}
 	p := &Pool{opt: opt, backends: map[string]*backend{}, fetches: map[reducer.FetchID]*fetch{}}
+	p.hooks = hooks{got: func(reducer.FetchID) {}, wrote: func(int) {}}
 	p.Share(1)
 	return p
 }
@@ -137,10 +208,7 @@
 	if f == nil {
 		return
 	}
-	f.cancel()
-	if c := f.conn.Load(); c != nil {
-		c.giveUp(f)
-	}
+	f.giveUp()
 }
 
 // Drop ends new sending to a backend: idle connections are closed, and what
@@ -159,7 +227,7 @@
 		if f.backend != b {
 			continue
 		}
-		c := f.conn.Load()
+		c := f.on()
 		if c == nil {
 			f.cancel()
 		} else if any, _ := c.carried(f); !any {
@@ -251,7 +319,7 @@
 		out()
 		return nil, err
 	}
-	c, err := newConn(raw.(*net.TCPConn), b, out)
+	c, err := newConn(raw.(*net.TCPConn), b, out, p.hooks.wrote)
 	if err != nil {
 		out()
 		raw.Close()
@@ -281,17 +349,25 @@
 func (p *Pool) fetch(ctx context.Context, f *fetch, e reducer.StartFetch) (lemongate.Result, []float64, reducer.Content) {
 	for {
 		result, report, reply := p.try(ctx, f, e)
-		c := f.conn.Load()
-		if result != lemongate.Unreachable || c == nil || ctx.Err() != nil {
+		if result != lemongate.Unreachable {
 			return result, report, reply
 		}
-		if any, _ := c.carried(f); any {
+		c := f.on()
+		if c != nil {
+			if any, _ := c.carried(f); any {
+				return result, report, reply
+			}
+		}
+		if f.backend.dropped.Load() { // not a failure of its, least of all of its next life
+			return lemongate.NotSent, nil, nil
+		}
+		if c == nil || ctx.Err() != nil {
 			return result, report, reply
 		}
-		if f.stale++; f.backend.dropped.Load() || f.stale >= freshTries {
-			return lemongate.NotSent, nil, nil // not the backend's failure
+		if f.stale++; f.stale >= freshTries {
+			return lemongate.NotSent, nil, nil
 		}
-		f.conn.Store(nil)
+		f.leave()
 	}
 }
 
@@ -300,7 +376,7 @@
 	// An answer that has begun comes whole soon. Where it does not, its head
 	// does not end or its length is wrong, and the connection would stay open.
 	late := time.AfterFunc(time.Hour, func() {
-		if c := f.conn.Load(); c != nil {
+		if c := f.on(); c != nil {
 			c.giveUp(f)
 		}
 	})
@@ -308,12 +384,12 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
-				c.begin(f)
-				f.conn.Store(c)
+				p.hooks.got(e.Fetch)
+				f.take(c)
 			}
 		},
 		GotFirstResponseByte: func() {
-			if c := f.conn.Load(); c != nil {
+			if c := f.on(); c != nil {
 				c.answerBegins()
 			}
 			f.heard.Store(true)
@@ -331,7 +407,7 @@
 		},
 	})
 	in := e.Content.(*Req)
-	resp, err := f.backend.transport.RoundTrip(request(ctx, in, e))
+	resp, err := f.backend.transport.RoundTrip(request(ctx, f, in, e))
 	if errors.Is(err, errTooMany) || errors.Is(err, errDropped) || f.late.Load() {
 		return lemongate.NotSent, nil, nil
 	}
@@ -340,7 +416,7 @@
 	}
 	// What came before a byte was written answers another fetch. The connection is closed by then,
 	// but the transport may have the answer in its buffer, and hand it on before it sees that.
-	if c := f.conn.Load(); c != nil {
+	if c := f.on(); c != nil {
 		if any, _ := c.carried(f); !any {
 			c.Close()
 			resp.Body.Close()
@@ -377,7 +453,7 @@
 // request words a fetch. Its Body is never nil and has no GetBody: otherwise
 // http.Transport would send a GET, or anything with Idempotency-Key, again by
 // itself when a kept connection turns out dead.
-func request(ctx context.Context, in *Req, e reducer.StartFetch) *http.Request {
+func request(ctx context.Context, f *fetch, in *Req, e reducer.StartFetch) *http.Request {
 	h := http.Header{
 		"X-Call-Id":  {in.CallID},
 		"X-Budget":   {strconv.FormatInt(max(e.Wait.Milliseconds(), 1), 10) + "m"},
@@ -392,10 +468,12 @@
 	if in.Type != "" {
 		h["Content-Type"] = []string{in.Type}
 	}
+	content := &body{f: f}
+	content.Reset(in.Body)
 	r := &http.Request{
 		Method: in.Method, Host: in.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:           &url.URL{Scheme: "http", Host: e.Addr, Opaque: in.URI}, // Opaque goes out as it is
-		Body:          io.NopCloser(bytes.NewReader(in.Body)),
+		Body:          content,
 		ContentLength: int64(len(in.Body)),
 	}
 	if len(in.Body) == 0 {
@@ -410,7 +488,7 @@
 // broken tells what a fetch without a whole answer proves: it never ran if its
 // last byte was not written, and may have run otherwise.
 func (p *Pool) broken(f *fetch) lemongate.Result {
-	c := f.conn.Load()
+	c := f.on()
 	if c == nil {
 		return lemongate.Unreachable
 	}
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -298,7 +298,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := newConn(near.(*net.TCPConn), &backend{}, func() {})
+	c, err := newConn(near.(*net.TCPConn), &backend{}, func() {}, func(int) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -362,8 +362,7 @@
 func TestDropBeforeFirstByte(t *testing.T) {
 	c, _ := pair(t)
 	f := &fetch{}
-	c.begin(f)
-	f.conn.Store(c)
+	f.take(c)
 	f.wrote.Store(true) // into the buffer, as http.Transport tells it
 	c.backend.dropped.Store(true)
 	go c.Read(make([]byte, 1))
@@ -381,8 +380,7 @@
 func TestBrokenWhileWriting(t *testing.T) {
 	c, far := pair(t)
 	f := &fetch{}
-	c.begin(f)
-	f.conn.Store(c)
+	f.take(c)
 	f.wrote.Store(true)
 	go c.Read(make([]byte, 1))
 	c.Write([]byte("G"))
