Bound when a keyed repeat may begin, and answer all before the program ends

Observed by reading: a keyed repeat was lawful when it was decided, but its connection may take as long as the window that is left (policy.go, again and send); with a short window it went out too late. A req that came on a session open at the end of the way out could have a deadline after the program's own end (reducer.go, arrived). Excluded: the first attempt, which nothing bounds; reqs of before Closing, whose deadlines lie before the end. Change: Send and StartFetch tell when an attempt may no longer begin, checked with its first byte, as leases do. The end is set with Closing and caps deadlines. What never ran costs the retry budget what a turning away does. Measured: TestKeyedRepeatBeginsInWindow, TestTooLateAsConnectionComes and TestAnsweredBeforeTheEnd fail without.

--- a/api.go
+++ b/api.go
@@ -224,6 +224,7 @@
 	Request RequestID
 	Backend string
 	GiveUp  time.Duration // clock time at which the attempt ends; 0 for the client's
+	Before  time.Duration // clock time from which on it may not begin any longer; 0 for no bound
 	Trial   bool          // of an ejected backend, for all gateways: see Trials
 }
 
--- a/internal/fetch/conn.go
+++ b/internal/fetch/conn.go
@@ -15,8 +15,8 @@
 	// errStale ends a fetch that would begin on a kept connection that has ended
 	// or brought something nobody asked for. Not a byte of the fetch was written.
 	errStale = errors.New("connection no longer fit")
-	// errLate ends a fetch whose lease had ended before its first byte.
-	errLate = errors.New("lease ended")
+	// errLate ends a fetch whose time had ended before its first byte.
+	errLate = errors.New("too late to begin")
 )
 
 // A conn is a connection to a backend. It knows whose req is on it and how far
@@ -160,7 +160,7 @@
 	return nil
 }
 
-// tooLate tells whether the lease that a fetch goes out under has ended. The program may have stood
+// tooLate tells whether the time in which a fetch may begin has ended. The program may have stood
 // still since it was asked for, or waited for a connection.
 func (f *fetch) tooLate() bool {
 	if f == nil || f.before <= 0 || f.now() < f.before {
--- a/internal/fetch/crossing_test.go
+++ b/internal/fetch/crossing_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"lemongate"
 	"lemongate/internal/reducer"
@@ -86,6 +88,32 @@
 	}
 }
 
+// A repeat whose connection comes up only after the time in which it may begin is not sent.
+func TestTooLateAsConnectionComes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	came := next(t, l)
+	var now atomic.Int64
+	p := pool(l.Addr().String(), func(o *Options) { o.Now = func() time.Duration { return time.Duration(now.Load()) } })
+	p.hooks.got = func(reducer.FetchID) { now.Store(int64(time.Second)) }
+	p.Start(reducer.StartFetch{Fetch: reducer.FetchID{Req: 1, Attempt: 1}, Backend: "b", Addr: p.addr, Wait: time.Minute, Content: get, Before: time.Second})
+	select {
+	case ev := <-p.events:
+		if got := ev.(*reducer.FetchEnded); got.Result != lemongate.NotSent || !got.Late {
+			t.Errorf("%+v", got)
+		}
+	case <-time.After(time.Second): // it was sent, and nobody answers
+	}
+	p.Stop(reducer.FetchID{Req: 1, Attempt: 1})
+	p.Close()
+	if data := <-came; data != "" {
+		t.Errorf("sent too late: %q", data)
+	}
+}
+
 // A backend that starts anew in the moment in which a connection to its earlier life is there is
 // sent nothing on it, and the fetch tells nothing against its new life.
 func TestDropAsConnectionComes(t *testing.T) {
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -66,7 +66,7 @@
 	Report []float64
 	Reply  Content
 	Spoilt bool // an answer had begun that cannot be read, does not end or cannot be told whole
-	Late   bool // with NotSent: the lease that it was to go out under had ended
+	Late   bool // with NotSent: the time before which it had to begin was over
 	Stale  int  // connections found unfit before a byte was written there
 }
 
@@ -146,9 +146,10 @@
 	Wait    time.Duration
 	Content Content
 
-	// Of what is done under a lease: its token, for the backend, and the instant from which on
-	// no byte of the req may be written any longer. Zero without one.
-	Token  uint64
+	// Of what is done under a lease: its token, for the backend. Zero without one.
+	Token uint64
+	// The instant from which on the req's first byte may not be written any longer, as a lease or
+	// the time in which backends drop repeats has ended. Zero for no bound.
 	Before time.Duration
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -40,6 +40,7 @@
 	killAfter    = 700 * time.Millisecond // SIGKILL comes this long after the longest deadline ...
 	killLeast    = 3 * time.Second        // ... counted as this long at least
 	killMargin   = 200 * time.Millisecond // to be out before
+	endMargin    = 50 * time.Millisecond  // all is answered this long before, so that the answers leave the sockets
 )
 
 // answerMargin is how long before its deadline a req is answered at the
@@ -81,8 +82,9 @@
 	wakes    map[string]time.Duration // the Gateway's, by token
 	setAt    time.Duration            // the SetTimer that stands
 	count    Counters
-	lanes    []Lane // by the classes of the settings
-	pending  int    // reqs without an answer
+	lanes    []Lane        // by the classes of the settings
+	pending  int           // reqs without an answer
+	ends     time.Duration // the program, whatever is open then; once Closing
 	out      []Effect
 	actions  []lemongate.Action
 	backlog  []lemongate.Event // for the Gateway, after the one it handles
@@ -121,6 +123,7 @@
 	req     *req
 	backend string
 	sent    time.Duration
+	leased  bool // under a lease
 }
 
 // New returns a Reducer in phase Starting, and the first effects.
@@ -265,7 +268,9 @@
 		} else {
 			r.tell(lemongate.Leaving{})
 		}
-		r.do(CloseFront{Within: longest + killAfter - acceptAfter - killMargin})
+		within := longest + killAfter - acceptAfter - killMargin
+		r.ends = r.now + within
+		r.do(CloseFront{Within: within})
 	case Stopped:
 		r.do(Exit{})
 	}
@@ -369,6 +374,9 @@
 		id: ev.ID, callID: ev.CallID, class: -1, deadline: min(ev.At, r.now) + ev.Budget - answerMargin, content: ev.Content,
 		remote: remote, event: ev,
 	}
+	if r.phase >= Closing { // a session that was open already: no longer than there is somebody to answer
+		q.deadline = min(q.deadline, r.ends-endMargin)
+	}
 	if remote {
 		q.deadline -= relayMargin
 	} else {
@@ -491,7 +499,7 @@
 	switch ev.Result {
 	case lemongate.NotSent:
 		r.count.NotSent++
-		if ev.Late && r.leases.agent != nil {
+		if ev.Late && f.leased && r.leases.agent != nil {
 			r.leases.agent.Late(Trials)
 		}
 	case lemongate.Done:
@@ -692,10 +700,12 @@
 		until = min(until, a.GiveUp)
 	}
 	var token uint64
-	var before time.Duration
-	inTime := true
+	before, inTime := a.Before, true
 	if a.Trial {
-		token, before, inTime = r.underLease()
+		var until time.Duration
+		if token, until, inTime = r.underLease(); before == 0 || until < before {
+			before = until
+		}
 	}
 	unfit := b == nil || b.State != lemongate.Live || b.Addr == ""
 	if !inTime || q.answered || until <= r.now || q.attempts > max(r.set.MaxAttempts, 1) || unfit {
@@ -710,7 +720,7 @@
 		r.count.Retries++
 	}
 	q.open++
-	r.fetches[id] = &fetch{req: q, backend: b.ID, sent: r.now}
+	r.fetches[id] = &fetch{req: q, backend: b.ID, sent: r.now, leased: a.Trial}
 	r.timers.add(timer{at: until, kind: fetchTimer, id: id})
 	if r.kin.mute {
 		r.do(KinBegan{q.began(id, b.ID)})
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,6 +70,35 @@
 	}
 }
 
+// A req that comes on a session which rested while the program ends is answered before the program is
+// gone, whatever time its client has: nobody is there to answer it later.
+func TestAnsweredBeforeTheEnd(t *testing.T) {
+	set := testSettings
+	set.Plans = append(slices.Clone(set.Plans), lemongate.Plan{Name: "free", Price: 1}) // whose reqs are sent on to the last
+	r, _ := New(time.Hour, Config{Settings: set, Seed: 1, Known: []Entry{entry("b1", "h:1", lemongate.Live, 0)}})
+	r.Step(time.Hour, Terminated{})
+	closing := only[CloseFront](r.Step(time.Hour+acceptAfter, Ticked{}))
+	if len(closing) != 1 || r.Phase() != Closing {
+		t.Fatalf("%v in phase %v", closing, r.Phase())
+	}
+	ends := time.Hour + acceptAfter + closing[0].Within
+	for i, at := range []time.Duration{ends - 400*time.Millisecond, ends - time.Millisecond} {
+		ev := read(ReqID(i+1), at, time.Second)
+		ev.Plan = "free"
+		effects := r.Step(at, ev)
+		for len(only[Answer](effects)) == 0 {
+			timer := only[SetTimer](effects)
+			if len(timer) == 0 || timer[0].At > ends-endMargin {
+				t.Fatalf("req %d, %v before the end: %v", i, ends-at, effects)
+			}
+			effects = r.Step(timer[0].At, Ticked{})
+		}
+	}
+	if c := r.Counters(); c.OpenReqs != 0 || c.Refused+c.Failed != 2 {
+		t.Errorf("counters %+v", c)
+	}
+}
+
 // What has waited for longer than its client does is refused, not sent on.
 func TestTooLateOnArrival(t *testing.T) {
 	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
--- a/policy.go
+++ b/policy.go
@@ -46,7 +46,7 @@
 	creditMost   = 2.0  // dispatch turns that an absent class can save up
 	retryShare   = 0.15 // further attempts per first attempt: a slow fleet is not made slower
 	retryBurst   = 16.0 // further attempts saved up by all gateways, for a backend that dies with its work
-	retryTurned  = 0.25 // what one costs that was turned away: it was no work
+	retryTurned  = 0.25 // what one costs that never ran: it was no work
 	tellUse      = 0.7  // part of a peer's intake that its busiest senders together fill at their pace
 	tellSenders  = 6    // how many these are at most: in a large tier the sum is bounded
 	tellBurst    = 4    // messages to one peer that may go without a pause
@@ -316,7 +316,11 @@
 	g.sendRate.add(g.now, 1, g.memory)
 	r.start(b, g.now)
 	g.places(r.customer)
-	g.do(Send{Request: r.ID, Backend: b.ID, GiveUp: r.deadline, Trial: g.alone() && g.due(b)})
+	send := Send{Request: r.ID, Backend: b.ID, GiveUp: r.deadline, Trial: g.alone() && g.due(b)}
+	if r.maybe != nil && r.class.Effect == Keyed { // a connection may be long in coming
+		send.Before = r.dropsUntil()
+	}
+	g.do(send)
 }
 
 // outcome books how an attempt ended and sees to the request's next step.
@@ -343,7 +347,7 @@
 		g.over(r)
 	case ev.Final || r.over:
 		g.over(r)
-	case ev.Result == TurnedAway || ev.Result == Unreachable:
+	case ev.Result.NeverRan():
 		g.again(r, retryTurned)
 	default:
 		g.again(r, 1)
@@ -376,10 +380,12 @@
 
 // lawful tells whether another attempt may go out: a keyed one only while repeats are dropped for sure.
 func (g *Gateway) lawful(r *request) bool {
-	return r.maybe == nil || r.class.Effect == Safe ||
-		r.class.Effect == Keyed && g.now-r.maybeAt < r.class.Window-r.class.Window/10
+	return r.maybe == nil || r.class.Effect == Safe || r.class.Effect == Keyed && g.now < r.dropsUntil()
 }
 
+// dropsUntil is when repeats of a keyed request that may have run are no longer dropped for sure.
+func (r *request) dropsUntil() time.Duration { return r.maybeAt + r.class.Window - r.class.Window/10 }
+
 // end refuses a request where a new try is harmless, and fails it otherwise.
 func (g *Gateway) end(r *request) {
 	harmless := r.maybe == nil && r.at == nil || r.class.Effect == Safe ||
--- a/policy_test.go
+++ b/policy_test.go
@@ -404,6 +404,31 @@
 	}
 }
 
+// A keyed repeat that waits for a connection may not begin once its repeats may no longer be dropped:
+// connections come up late, and the window may be shorter than they take.
+func TestKeyedRepeatBeginsInWindow(t *testing.T) {
+	set := settings()
+	set.Classes[1].Window = 300 * ms
+	b := newBench(t, set, fleet("a", "b", "c", "d")...)
+	id := b.ask("post", "free", "x")
+	first, at := b.sent(id), b.now
+	if b.take(); first.Before != 0 {
+		t.Errorf("the first attempt has a bound: %v", first.Before)
+	}
+	b.now += 50 * ms
+	b.end(id, 0, first.Backend, Broken, 50*ms)
+	again := only[Send](b.acts)
+	if want := at + 270*ms; len(again) != 1 || again[0].Before != want {
+		t.Fatalf("%v, want a repeat that begins before %v", again, want)
+	}
+	b.take()
+	b.now = at + 280*ms // no byte of it was written by then
+	b.end(id, 1, again[0].Backend, NotSent, 230*ms)
+	if len(only[Send](b.acts)) > 0 || len(only[Fail](b.acts)) != 1 {
+		t.Errorf("beyond the window: %v, want a failure", b.acts)
+	}
+}
+
 // Further attempts draw on a budget.
 func TestRetryBudget(t *testing.T) {
 	b := newBench(t, settings(), fleet("a", "b", "c", "d", "e", "f")...)
