Choose a client session to close and close it in one step, and never over a req

Change: choice and close are one step under the lock, with a look into the socket; a half req goes only while the server waits for more of it; a req given up ends its session; Close waits for the accept loop; sessions.end is gone. Excluded: the read itself, which is one step with the state already.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,7 @@
 
 	sessions atomic.Pointer[sessions] // once it serves
 	serves   chan struct{}            // closed then
+	accepted chan struct{}            // closed once it accepts nothing more: all sessions are counted
 	part     float64                  // of the client sessions allowed; guarded by mu
 
 	mu      sync.Mutex
@@ -75,7 +76,7 @@
 	}
 	f := &Front{
 		opt: opt, classes: map[string]*lemongate.Class{}, plans: map[string]bool{},
-		waiting: map[reducer.ReqID]chan reducer.Answer{}, serves: make(chan struct{}), part: 1,
+		waiting: map[reducer.ReqID]chan reducer.Answer{}, serves: make(chan struct{}), accepted: make(chan struct{}), part: 1,
 	}
 	for i, c := range opt.Settings.Classes {
 		f.classes[c.Name] = &opt.Settings.Classes[i]
@@ -118,6 +119,7 @@
 	f.mu.Unlock()
 	close(f.serves)
 	go l.keepSweeping()
+	defer close(f.accepted)
 	defer l.Close()
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !f.closes.Load() {
 		return fmt.Errorf("front: %w", err)
@@ -209,6 +211,10 @@
 	f.closes.Store(true)
 	if l := f.sessions.Load(); l != nil {
 		l.Close()
+		select {
+		case <-f.accepted: // one that the system has given out may not be among the sessions before
+		case <-ctx.Done():
+		}
 		for ctx.Err() == nil {
 			moves, left := l.moves()
 			if !moves {
@@ -251,7 +257,7 @@
 		return
 	}
 	if sessionOf(r).enter(busy) == closed {
-		return // to make room for another; the client's next try is welcome
+		panic(http.ErrAbortHandler) // closed between reqs, with this one read behind the one before
 	}
 	answer := make(chan reducer.Answer, 1)
 	f.mu.Lock()
@@ -269,6 +275,9 @@
 		delete(f.waiting, ev.ID)
 		f.mu.Unlock()
 		f.opt.Post(&reducer.Left{Req: ev.ID})
+		// Or net/http's server answers 200 with nothing: a client that only ended its sending
+		// would take that for its answer.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -277,7 +286,9 @@
 func (f *Front) turnAway(w http.ResponseWriter, r *http.Request, p *problem) {
 	f.opt.Post(reducer.Malformed{Cause: p.cause})
 	s := sessionOf(r)
-	s.enter(idle) // no req is open here
+	if s.enter(busy) == closed {
+		panic(http.ErrAbortHandler)
+	}
 	// Beyond a body that is left unread the session ends too: in full duplex net/http's
 	// server would begin two reads at once there, and panics.
 	if p.ends || r.ContentLength != 0 {
@@ -290,6 +301,7 @@
 	reject(w, p.status, p.text)
 	if r.ContentLength != 0 {
 		http.NewResponseController(w).Flush()
+		s.enter(idle) // it is answered, and what may still come is of no use
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,6 +30,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveOn(t, l, change...)
+}
+
+func serveOn(t *testing.T, l net.Listener, change ...func(*Options)) *rig {
+	t.Helper()
 	r := &rig{addr: l.Addr().String(), events: make(chan reducer.Event, 16)}
 	opt := Options{
 		Settings: lemongate.Settings{
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -57,15 +57,20 @@
 	since time.Time     // of the state
 	place *list.Element // in the list of its state
 
-	raw   syscall.RawConn // nil where there is no socket
-	begun time.Time       // when the req that is coming in began to
-	ahead bool            // a byte was read beside an open req: the next one's
+	raw    syscall.RawConn // nil where there is no socket
+	begun  time.Time       // when the req that is coming in began to
+	ahead  bool            // a byte was read beside an open req: the next one's
+	parked bool            // the server waits at the socket for more of a req, so none is whole
 }
 
 // sessions accepts client sessions and knows what each is doing. It takes the
 // place of a listener that stops accepting at its bound: there, sessions that
 // say nothing shut the usual clients out. Here the one of least use is closed
 // to make room, and never one that has a req open.
+//
+// Which session is closed and that it is, is one step under mu, as are a read and
+// what it means: a session that is closed has had no byte of a req read since it
+// was last between reqs, or waits for more of one.
 type sessions struct {
 	net.Listener
 	most    int // sessions; 0 for no bound
@@ -117,12 +122,12 @@
 // is no room for it.
 func (a *sessions) admit(c net.Conn, state sessionState) *session {
 	a.mu.Lock()
-	var out *session
+	var out closing
 	full := a.most > 0 && a.open >= a.bound()
 	if full {
 		out = a.victim()
 	}
-	if full && out == nil { // all have reqs open: the newcomer is told so by a close
+	if full && out.session == nil { // all have reqs open: the newcomer is told so by a close
 		a.mu.Unlock()
 		c.Close()
 		a.onClose(silent)
@@ -135,9 +140,7 @@
 	s.place = a.lists[state].PushBack(s)
 	a.open++
 	a.mu.Unlock()
-	if out != nil {
-		out.end()
-	}
+	out.finish()
 	return s
 }
 
@@ -199,7 +202,7 @@
 		s.all.mu.Unlock()
 		return false
 	}
-	s.move(ending) // nobody closes it for another meanwhile
+	s.move(busy) // nobody closes it for another meanwhile
 	s.all.mu.Unlock()
 	if err := give(c); err != nil {
 		s.enter(idle)
@@ -216,52 +219,70 @@
 	return a.Listener.Close()
 }
 
-// victim picks the session of least use: one that only lingers, then one idle
-// for so long that it may be closed, silent for longer than a usual client is,
-// or stuck in the middle of a req. Failing these, an idle one, as its client
+// victim picks the session of least use, and closes it: one that only lingers, then
+// one idle for so long that it may be closed, silent for longer than a usual client
+// is, or stuck in the middle of a req. Failing these, an idle one, as its client
 // sends a req that crosses the close once more; then the oldest that has sent
 // nothing yet. One whose req is coming in or open is not closed for another.
 // a.mu is held.
-func (a *sessions) victim() *session {
+func (a *sessions) victim() closing {
 	for _, c := range []struct {
 		state sessionState
 		least time.Duration
 	}{
 		{ending, 0}, {idle, idleAtLeast}, {silent, silentFor}, {reading, halfFor}, {idle, 0}, {silent, 0},
 	} {
-		if s := a.oldest(c.state, c.least); s != nil {
-			return s
+		if out := a.oldest(c.state, c.least); out.session != nil {
+			return out
 		}
 	}
-	return nil
+	return closing{}
 }
 
-// oldest gives the session longest in a state, if for that long at least.
-func (a *sessions) oldest(state sessionState, least time.Duration) *session {
-	first := a.lists[state].Front()
-	if first == nil {
-		return nil
+// A closing is a session that is closed already, for all who hold mu, and the state it was in. Its
+// socket is still to be closed: that waits for its reader.
+type closing struct {
+	*session
+	was sessionState
+}
+
+// finish closes the socket, if there is a session, and tells of it.
+func (c closing) finish() {
+	if c.session != nil {
+		c.session.Conn.Close()
+		c.session.all.onClose(c.was)
 	}
-	if s := first.Value.(*session); a.now().Sub(s.since) >= least {
-		return s
+}
+
+// oldest closes the session longest in a state, if for that long at least and no part of a req
+// waits in its socket: a limiter that stood still finds reqs there that came meanwhile. a.mu is held.
+func (a *sessions) oldest(state sessionState, least time.Duration) closing {
+	for e := a.lists[state].Front(); e != nil; e = e.Next() {
+		s := e.Value.(*session)
+		if a.now().Sub(s.since) < least {
+			break
+		}
+		if state == reading && !s.parked || state != ending && s.waits() {
+			continue
+		}
+		s.move(closed)
+		return closing{s, state}
 	}
-	return nil
+	return closing{}
 }
 
-// endIdle closes all sessions between reqs, and counts those left.
+// endIdle closes all sessions between reqs, and counts those left. One whose next req is in the
+// socket answers that first.
 func (a *sessions) endIdle() (left int) {
 	for {
 		a.mu.Lock()
 		out := a.oldest(idle, 0)
-		if out != nil {
-			out.move(closed)
-		}
 		left = a.open
 		a.mu.Unlock()
-		if out == nil {
+		if out.session == nil {
 			return left
 		}
-		out.Conn.Close()
+		out.session.Conn.Close()
 	}
 }
 
@@ -276,15 +297,15 @@
 func (a *sessions) sweep() {
 	for {
 		a.mu.Lock()
-		var out *session
+		var out closing
 		if a.most > 0 && float64(a.open) > crowdedPart*float64(a.bound()) {
 			out = a.oldest(idle, idleAtLeast)
 		}
 		a.mu.Unlock()
-		if out == nil {
+		if out.session == nil {
 			return
 		}
-		out.end()
+		out.finish()
 	}
 }
 
@@ -333,18 +354,17 @@
 	return was
 }
 
-// end closes a session from this side, unless a req has come in meanwhile.
-func (s *session) end() {
-	s.all.mu.Lock()
-	was := s.state
-	if was != busy {
-		s.move(closed)
-	}
-	s.all.mu.Unlock()
-	if was != busy && was != closed {
-		s.Conn.Close()
-		s.all.onClose(was)
+// waits tells whether something waits to be read in the socket. Its end does not count. all.mu is held.
+func (s *session) waits() bool {
+	if s.raw == nil {
+		return false
 	}
+	var one [1]byte
+	n := 0
+	s.raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
 }
 
 // Read takes what has come, and notes that a req has begun to come. Both are one step with what
@@ -368,6 +388,7 @@
 	ioErr := s.raw.Read(func(fd uintptr) bool {
 		s.all.mu.Lock()
 		defer s.all.mu.Unlock()
+		s.parked = false
 		if s.state == closed {
 			n, err = 0, net.ErrClosed
 			return true
@@ -378,12 +399,18 @@
 			}
 		}
 		if err == syscall.EAGAIN {
+			s.parked = len(p) > 1 // net/http's server reads one byte beside a req that is whole
 			return false
 		}
 		n = max(n, 0)
 		s.came(n)
 		return true
 	})
+	if ioErr != nil {
+		s.all.mu.Lock()
+		s.parked = false
+		s.all.mu.Unlock()
+	}
 	switch {
 	case errors.Is(ioErr, os.ErrDeadlineExceeded) && s.leaves():
 		return 0, io.EOF
