Read the messages of a watch as objects, wherever their lines end, and find cut ones out

Observed by reading, then forced in tests: a list was read by lines, so one that is indented over several was never taken up: each line was an error and the watch began anew for good (discovery.go, watch). A whole list without instances, as of an error text with reset in it, emptied the list of backends. Excluded: lines that were cut off, which the reader by lines found out as well; an object reader has to find them too, as what a message says counts as told with its first byte (drain grace 250 ms). Change: jsoniter's decoder reads object after object; one timer gives up what is silent between two for 3 s, or stalls for 100 ms within one. Heuristics on lines, tried first, are not needed. Measured: TestIndentedLists and TestNoList fail on the reader by lines; TestCutOffAnywhere (each byte, four followers) and TestSilentAnywhere hold on both, and TestCutOffAnywhere does not end without the bound on a stall.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,7 +3,6 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -23,10 +22,10 @@
 )
 
 const (
-	// A line comes every 2 s. What discovery has to tell counts as told after a
+	// Something comes every 2 s. What discovery has to tell counts as told after a
 	// few seconds, whether it came or not, so a silent stream is not trusted longer.
 	silentAfter = 3 * time.Second
-	// A line that cannot be read counts as told too, and new sending must end
+	// A message that cannot be read counts as told too, and new sending must end
 	// 250 ms later: it is asked for again at once, which costs the agent on this
 	// machine nothing.
 	backoffFrom = 10 * time.Millisecond
@@ -43,7 +42,9 @@
 	mostEach   = 100 * time.Millisecond
 	toldWithin = 6 * time.Second
 	dialWithin = time.Second // for a connection to discovery, which is on this machine
-	maxLine    = 4 << 20     // of a list; far more than any fleet fills
+	maxList    = 4 << 20     // bytes of a message; far more than any fleet fills
+	// A message that has begun and does not go on for this long was cut off.
+	stalledAfter = 100 * time.Millisecond
 )
 
 // message is a list or a change of it, as discovery words it.
@@ -72,22 +73,35 @@
 func Decode(data []byte, origin time.Time) (list *reducer.Listed, generation int64, err error) {
 	var m message
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(data, &m); err != nil {
-		return nil, 0, fmt.Errorf("list of backends: bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+		return nil, 0, badJSON(err)
 	}
-	list = &reducer.Listed{Kind: lemongate.ListChanges, Generation: m.Generation}
+	list, err = m.list(origin)
+	return list, m.Generation, err
+}
+
+func badJSON(err error) error {
+	return fmt.Errorf("list of backends: bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+}
+
+// list words a message as an event.
+func (m *message) list(origin time.Time) (*reducer.Listed, error) {
+	if m.Reset && m.Instances == nil {
+		return nil, errors.New("list of backends: a whole list without instances")
+	}
+	list := &reducer.Listed{Kind: lemongate.ListChanges, Generation: m.Generation}
 	if m.Reset {
 		list.Kind = lemongate.ListFull
 	}
 	for _, x := range m.Instances {
 		if x.ID == "" {
-			return nil, 0, errors.New("list of backends: an instance without instanceId")
+			return nil, errors.New("list of backends: an instance without instanceId")
 		}
 		state, known := states[x.Lifecycle]
 		if !known { // a word of later days: one odd entry must not cost the whole list
 			state = lemongate.Draining
 		}
 		if _, _, err := net.SplitHostPort(x.Addr); err != nil && state == lemongate.Live {
-			return nil, 0, fmt.Errorf("list of backends: instance %q: %w", x.ID, err)
+			return nil, fmt.Errorf("list of backends: instance %q: %w", x.ID, err)
 		}
 		e := reducer.Entry{Addr: x.Addr, Backend: lemongate.Backend{
 			ID: x.ID, Zone: x.Zone, Cell: x.Cell, State: state, Size: x.Weight,
@@ -97,7 +111,7 @@
 		}
 		list.Entries = append(list.Entries, e)
 	}
-	return list, m.Generation, nil
+	return list, nil
 }
 
 // A Watcher keeps a watch open.
@@ -197,7 +211,7 @@
 }
 
 var (
-	// errUnread ends a watch that brought a line that could not be read.
+	// errUnread ends a watch that brought a message that could not be read.
 	errUnread = errors.New("watch")
 	// errTurnedAway ends a watch that discovery had no room for.
 	errTurnedAway = errors.New("watch: turned away")
@@ -229,28 +243,21 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("%w with status %d", errTurnedAway, resp.StatusCode)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
-		alarm.Reset(silent)
-		if len(lines.Bytes()) == 0 {
-			continue
+	in := newStream(resp.Body, silent, alarm)
+	for {
+		list, err := in.next(w.Origin)
+		if errors.Is(err, errUnread) {
+			w.Index = 0 // what it changed is unknown, so the whole list is wanted
 		}
-		list, generation, err := Decode(lines.Bytes(), w.Origin)
 		if err != nil {
-			w.Index = 0 // what this line changed is unknown, so the whole list is wanted
-			return read, fmt.Errorf("%w: %w", errUnread, err)
+			return read, err
 		}
 		if read++; read == 1 {
 			w.Log.Info("backend list", zap.String("from", w.Addr), zap.Int64("asked", w.Index),
-				zap.Int64("generation", generation), zap.Bool("whole", list.Kind == lemongate.ListFull),
+				zap.Int64("generation", list.Generation), zap.Bool("whole", list.Kind == lemongate.ListFull),
 				zap.Int("entries", len(list.Entries)))
 		}
-		w.Index = generation
+		w.Index = list.Generation
 		w.Post(list)
 	}
-	if lines.Err() != nil {
-		return read, fmt.Errorf("watch: %w", lines.Err())
-	}
-	return read, errors.New("watch: stream ended")
 }
