Withdraw the fetches of a client that left, and answer it all the same

And a client that ends its sending alone looks like one that left, yet it is owed an answer. Excluded: fetches that have begun, which go on; where fetches may be called off the Gateway does so. Change: WithdrawFetch ends a fetch of which no byte was written, decided with its first byte as leases are, and is told as not sent; left answers as overdue does. The model of the reducer draws whether fetches may be called off, and holds reqs that may not run twice to one attempt out.

--- a/internal/fetch/conn.go
+++ b/internal/fetch/conn.go
@@ -17,6 +17,8 @@
 	errStale = errors.New("connection no longer fit")
 	// errLate ends a fetch whose time had ended before its first byte.
 	errLate = errors.New("too late to begin")
+	// errUnwanted ends a fetch that was withdrawn before its first byte.
+	errUnwanted = errors.New("withdrawn")
 )
 
 // A conn is a connection to a backend. It knows whose req is on it and how far
@@ -152,6 +154,9 @@
 	case c.backend.dropped.Load():
 		c.broke = true
 		return errDropped
+	case c.owner != nil && c.owner.unwant.Load():
+		c.broke = true
+		return errUnwanted
 	case c.owner.tooLate():
 		c.broke = true
 		return errLate
--- a/internal/fetch/crossing_test.go
+++ b/internal/fetch/crossing_test.go
@@ -172,3 +172,61 @@
 		t.Errorf("result %v of a req that came whole, want one that may have run", got.Result)
 	}
 }
+
+// A fetch that is withdrawn as its connection comes is not sent, and that says nothing of its backend.
+func TestWithdrawAsConnectionComes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	came := next(t, l)
+	p := pool(l.Addr().String())
+	defer p.Close()
+	p.hooks.got = func(id reducer.FetchID) { p.Withdraw(id) }
+	if got := p.fetch(get); got.Result != lemongate.NotSent {
+		t.Errorf("result %v", got.Result)
+	}
+	if data := <-came; data != "" {
+		t.Errorf("sent after Withdraw: %q", data)
+	}
+}
+
+// Likewise before there is a connection: who does not answer a dial holds nothing of it.
+func TestWithdrawBeforeConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := pool(l.Addr().String())
+	defer p.Close()
+	f := &fetch{backend: &backend{}, now: p.opt.Now}
+	f.cancel = func() { f.cancel = nil }
+	if f.withdraw(); f.cancel != nil {
+		t.Error("goes on to dial")
+	}
+	c, far := pair(t)
+	f.take(c)
+	go c.Read(make([]byte, 1))
+	if n, err := c.Write([]byte("GET")); n != 0 || err == nil {
+		t.Errorf("wrote %d bytes, %v", n, err)
+	}
+	c.Close()
+	if data, _ := io.ReadAll(far); len(data) > 0 {
+		t.Errorf("sent after Withdraw: %q", data)
+	}
+}
+
+// One that has begun goes on to its answer.
+func TestWithdrawOnceBegun(t *testing.T) {
+	s := play(t, whole("200 OK", "", "yes"))
+	p := pool(s.listener.Addr().String())
+	defer p.Close()
+	id := reducer.FetchID{}
+	p.hooks.got = func(i reducer.FetchID) { id = i }
+	p.hooks.wrote = func(int) { p.Withdraw(id) }
+	if got := p.fetch(get); got.Result != lemongate.Done {
+		t.Errorf("result %v", got.Result)
+	}
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -96,6 +96,7 @@
 	now     func() time.Duration
 	wrote   atomic.Bool   // the last byte of the req is on its way to the socket, or beyond
 	late    atomic.Bool   // the time for its first byte was over
+	unwant  atomic.Bool   // it may not begin any longer
 	heard   atomic.Bool   // the first byte of an answer came
 	before  time.Duration // no first byte may be written from then on; 0 for no bound
 	stale   int           // connections that turned out unfit before a byte was written
@@ -146,6 +147,22 @@
 	}
 }
 
+// withdraw ends the fetch unless a byte of it was written.
+func (f *fetch) withdraw() {
+	f.unwant.Store(true)
+	f.endUnbegun()
+}
+
+// endUnbegun cancels the fetch if it has not begun, and is not to begin any longer.
+func (f *fetch) endUnbegun() {
+	if c := f.on(); c != nil {
+		if any, _ := c.carried(f); any {
+			return
+		}
+	}
+	f.cancel()
+}
+
 // A body is a req's, as http.Transport reads it. Large ones go to the socket past the transport's
 // buffer, so their last byte may be there before WroteRequest tells so: what was read to its end
 // counts as written, unless the write fails.
@@ -211,6 +228,17 @@
 	f.giveUp()
 }
 
+// Withdraw ends a fetch of which no byte was written, and has it told as not sent. One that has
+// begun goes on.
+func (p *Pool) Withdraw(id reducer.FetchID) {
+	p.mu.Lock()
+	f := p.fetches[id]
+	p.mu.Unlock()
+	if f != nil {
+		f.withdraw()
+	}
+}
+
 // Drop ends new sending to a backend: idle connections are closed, and what
 // has no byte written yet is cancelled, to be sent elsewhere. What is being
 // answered goes on.
@@ -224,14 +252,8 @@
 	delete(p.backends, id)
 	b.dropped.Store(true)
 	for _, f := range p.fetches {
-		if f.backend != b {
-			continue
-		}
-		c := f.on()
-		if c == nil {
-			f.cancel()
-		} else if any, _ := c.carried(f); !any {
-			f.cancel()
+		if f.backend == b {
+			f.endUnbegun()
 		}
 	}
 	b.transport.CloseIdleConnections()
@@ -358,7 +380,7 @@
 				return result, report, reply
 			}
 		}
-		if f.backend.dropped.Load() { // not a failure of its, least of all of its next life
+		if f.backend.dropped.Load() || f.unwant.Load() { // not a failure of its, least of all of its next life
 			return lemongate.NotSent, nil, nil
 		}
 		if c == nil || ctx.Err() != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,6 +287,8 @@
 			n.fetches.Start(e)
 		case reducer.StopFetch:
 			n.fetches.Stop(e.Fetch)
+		case reducer.WithdrawFetch:
+			n.fetches.Withdraw(e.Fetch)
 		case reducer.Answer:
 			if n.front != nil {
 				n.front.Answer(e)
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -157,6 +157,10 @@
 // wanted.
 type StopFetch struct{ Fetch FetchID }
 
+// WithdrawFetch ends a fetch of which no byte was written, as nobody wants its answer any
+// longer: its outcome is NotSent. One that has begun goes on.
+type WithdrawFetch struct{ Fetch FetchID }
+
 // An AnswerKind says how a req ended.
 type AnswerKind uint8
 
@@ -213,17 +217,18 @@
 // Log leaves a line for people.
 type Log struct{ Text string }
 
-func (StartFetch) effect()  {}
-func (StopFetch) effect()   {}
-func (Answer) effect()      {}
-func (Probe) effect()       {}
-func (DropBackend) effect() {}
-func (Tell) effect()        {}
-func (SetTimer) effect()    {}
-func (Ready) effect()       {}
-func (EndSessions) effect() {}
-func (CloseFront) effect()  {}
-func (Reload) effect()      {}
-func (Watch) effect()       {}
-func (Exit) effect()        {}
-func (Log) effect()         {}
+func (StartFetch) effect()    {}
+func (StopFetch) effect()     {}
+func (WithdrawFetch) effect() {}
+func (Answer) effect()        {}
+func (Probe) effect()         {}
+func (DropBackend) effect()   {}
+func (Tell) effect()          {}
+func (SetTimer) effect()      {}
+func (Ready) effect()         {}
+func (EndSessions) effect()   {}
+func (CloseFront) effect()    {}
+func (Reload) effect()        {}
+func (Watch) effect()         {}
+func (Exit) effect()          {}
+func (Log) effect()           {}
--- a/internal/reducer/model_test.go
+++ b/internal/reducer/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,9 @@
 	live    map[string]bool
 	timer   time.Duration
 	calls   map[ReqID]string // ids of the reqs that are open
+	once    map[ReqID]bool   // reqs that may not run twice
+	ran     map[ReqID]bool   // reqs that may have run
+	left    ReqID            // its client left in this step
 	done    ReqID            // its fetch ended Done in this step
 	clash   ReqID            // it came in this step, under the id of one that is open
 	exit    bool
@@ -63,6 +67,9 @@
 			if _, owed := m.open[e.Req]; !owed || (e.Kind == Served) != (e.Req == m.done) || clash != (e.Req == m.clash) {
 				m.t.Fatalf("answer %+v: owed %v, served now %v", e, owed, m.done)
 			}
+			if e.Kind == Refused && m.once[e.Req] && (m.ran[e.Req] || m.outFor(e.Req)) {
+				m.t.Fatalf("answer %+v: it may run", e)
+			}
 			delete(m.open, e.Req)
 		case StartFetch:
 			deadline, owed := m.open[e.Fetch.Req]
@@ -70,17 +77,33 @@
 			if !owed || !fits || !m.live[e.Backend] || e.Wait <= 0 || m.now+e.Wait >= deadline {
 				m.t.Fatalf("fetch %+v: owed %v, start %d", e, owed, m.starts[e.Fetch.Req])
 			}
+			if m.once[e.Fetch.Req] && (m.ran[e.Fetch.Req] || m.outFor(e.Fetch.Req)) {
+				m.t.Fatalf("fetch %+v: it may have run, or may run", e)
+			}
 			m.starts[e.Fetch.Req]++
 			m.out = append(m.out, e.Fetch)
 		case StopFetch:
 			m.drop(e.Fetch)
+			m.ran[e.Fetch.Req] = true
+		case WithdrawFetch:
+			if !slices.Contains(m.out, e.Fetch) || e.Fetch.Req != m.left {
+				m.t.Fatalf("withdrawn %+v, %d left", e, m.left)
+			}
 		case SetTimer:
 			m.timer = e.At
 		case Exit:
 			m.exit = true
 		}
 	}
-	m.done, m.clash = 0, 0
+	if _, owed := m.open[m.left]; owed {
+		m.t.Fatalf("the client of %d left, and it is not over", m.left)
+	}
+	m.done, m.clash, m.left = 0, 0, 0
+}
+
+// outFor tells whether a req has a fetch out.
+func (m *model) outFor(id ReqID) bool {
+	return slices.ContainsFunc(m.out, func(f FetchID) bool { return f.Req == id })
 }
 
 // taken tells whether an open req, or one with a fetch out, has an id.
@@ -135,11 +158,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			t: t, now: time.Hour, open: map[ReqID]time.Duration{}, starts: map[ReqID]int{}, calls: map[ReqID]string{},
-			live: map[string]bool{"b1": true, "b2": true},
+			live: map[string]bool{"b1": true, "b2": true}, once: map[ReqID]bool{}, ran: map[ReqID]bool{},
 		}
+		set := testSettings
+		set.MayCancel = rapid.Bool().Draw(t, "may cancel")
 		known := []Entry{{lemongate.Backend{ID: "b1", Zone: "a"}, "h:1"}, {lemongate.Backend{ID: "b2", Zone: "a"}, "h:2"}}
 		var first []Effect
-		m.r, first = New(m.now, Config{Settings: testSettings, Seed: 1, Known: known})
+		m.r, first = New(m.now, Config{Settings: set, Seed: 1, Known: known})
 		m.see(first)
 		t.Repeat(map[string]func(*rapid.T){
 			"": m.check,
@@ -153,7 +178,7 @@
 				} else if call != "" {
 					m.calls[m.lastReq] = call
 				}
-				m.open[m.lastReq] = m.now + budget
+				m.open[m.lastReq], m.once[m.lastReq] = m.now+budget, class.Effect == lemongate.Unsafe
 				m.step(&Arrived{At: m.now, CallID: call, Request: lemongate.Request{
 					ID: m.lastReq, Class: class.Name, Plan: "small", Units: 1, Budget: budget, Spread: 1,
 					Customer: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "customer"),
@@ -166,6 +191,7 @@
 				id := rapid.SampledFrom(m.out).Draw(t, "fetch")
 				result := lemongate.Result(rapid.IntRange(0, int(lemongate.Broken)).Draw(t, "result"))
 				m.drop(id)
+				m.ran[id.Req] = m.ran[id.Req] || !result.NeverRan()
 				if _, owed := m.open[id.Req]; owed && result == lemongate.Done {
 					m.done = id.Req
 				}
@@ -175,9 +201,8 @@
 				m.step(&FetchEnded{Fetch: FetchID{m.lastReq + 1, 0}, Result: lemongate.Done})
 			},
 			"leave": func(t *rapid.T) {
-				id := ReqID(rapid.Uint64Range(0, uint64(m.lastReq)+1).Draw(t, "req"))
-				delete(m.open, id)
-				m.step(&Left{Req: id})
+				m.left = ReqID(rapid.Uint64Range(0, uint64(m.lastReq)+1).Draw(t, "req"))
+				m.step(&Left{Req: m.left})
 			},
 			"list": func(t *rapid.T) {
 				id := rapid.SampledFrom([]string{"b1", "b2", "b3"}).Draw(t, "backend")
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -410,20 +410,29 @@
 	r.tell(&event)
 }
 
-// left books that a client has gone: nothing is owed to it any longer.
+// left books that a client has gone: nothing is sent on for it any longer. It is answered all the
+// same, as a client that only ended its sending looks like one that has gone.
 func (r *Reducer) left(id ReqID) {
-	if q := r.reqs[id]; q != nil && !q.answered {
-		if q.relayed {
-			r.do(KinGave{Req: id})
-		}
-		if !q.remote {
-			r.count.Left++
-			r.pending--
+	q := r.reqs[id]
+	if q == nil || q.answered {
+		return
+	}
+	if q.relayed {
+		r.do(KinGave{Req: id})
+	}
+	q.answered = true
+	if !q.remote {
+		r.count.Left++
+		r.pending--
+		r.do(r.unserved(q))
+	}
+	r.tell(&lemongate.Gone{Request: id})
+	for attempt := range q.attempts { // where fetches may not be called off
+		if f := (FetchID{id, attempt}); r.fetches[f] != nil {
+			r.do(WithdrawFetch{Fetch: f})
 		}
-		q.answered = true
-		r.tell(&lemongate.Gone{Request: id})
-		r.forget(q)
 	}
+	r.forget(q)
 }
 
 // overdue answers a req at its deadline if nothing else has.
@@ -436,15 +445,19 @@
 	if q.relayed {
 		r.do(KinGave{Req: id})
 	}
-	if q.open == 0 && !q.maybe || q.effect == lemongate.Safe {
-		r.answer(q, Answer{Kind: Refused, RetryAfter: r.set.MaxRetryAfter})
-	} else {
-		r.answer(q, Answer{Kind: Failed})
-	}
+	r.answer(q, r.unserved(q))
 	r.tell(&lemongate.Gone{Request: id})
 	r.forget(q)
 }
 
+// unserved is the answer to a req that ends as it stands: a new try does no harm, or it may have run.
+func (r *Reducer) unserved(q *req) Answer {
+	if q.open == 0 && !q.maybe || q.effect == lemongate.Safe {
+		return Answer{Req: q.id, Kind: Refused, RetryAfter: r.set.MaxRetryAfter}
+	}
+	return Answer{Req: q.id, Kind: Failed}
+}
+
 // answer gives a req its final answer. Whoever calls it sees to forget.
 func (r *Reducer) answer(q *req, a Answer) {
 	if q.answered {
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -356,3 +356,29 @@
 		t.Errorf("at the end: %+v", got)
 	}
 }
+
+// The client of a req leaves: nothing more is sent on for it, also where fetches may not be called
+// off and one is about to begin; and it is answered, as it may only have ended its sending.
+func TestClientLeft(t *testing.T) {
+	set := testSettings
+	set.MayCancel = false
+	r, _ := New(time.Hour, Config{Settings: set, Seed: 1, Known: []Entry{entry("b1", "h:1", lemongate.Live, 0)}})
+	sent := only[StartFetch](r.Step(time.Hour, read(1, time.Hour, time.Second)))
+	if len(sent) != 1 {
+		t.Fatalf("%v", sent)
+	}
+	effects := r.Step(time.Hour, &Left{Req: 1})
+	if got := only[WithdrawFetch](effects); len(got) != 1 || got[0].Fetch != sent[0].Fetch {
+		t.Errorf("withdrawn %v, want %v", got, sent[0].Fetch)
+	}
+	if got := only[Answer](effects); len(got) != 1 || got[0].Req != 1 || got[0].Kind != Refused {
+		t.Errorf("answered %v", got)
+	}
+	effects = r.Step(time.Hour, &FetchEnded{Fetch: sent[0].Fetch, Result: lemongate.NotSent})
+	if len(only[StartFetch](effects))+len(only[Answer](effects)) > 0 || len(r.reqs) > 0 {
+		t.Errorf("%v, %d reqs kept", effects, len(r.reqs))
+	}
+	if c := r.Counters(); c.Left != 1 || c.Refused != 0 || c.OpenReqs != 0 {
+		t.Errorf("counters %+v", c)
+	}
+}
