Close sessions between reqs in one place, and read nothing after the last call

Observed by reading, then forced in tests (sessions.go, front.go): - a session stood as idle while a req that came with the one before was in net/http's buffer, and was closed over it; - what net/http's server read from a session that was closed for others was answered 400, as its error looked like a bad req; - a time for a read that was over counted though bytes waited: a limiter that stood still cut reqs off; - the close of the listener reset those in the system's queue; - at the end of the way out a req could be read as the program ended, and nobody answered it; - an answer that crossed the end of a client's sending was dropped, by chance. Excluded: small writes held back, as Go sets TCP_NODELAY, also on sessions that are adopted (a test holds it). Change: a session is between reqs once the server asks for more with nothing read, and is closed there by its own reader; 200 ms before the end no more is read; Accept takes the queue in before it closes. http.Server.Shutdown is not used any longer.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,9 @@
 	maxWord      = 256                   // of a header that is read
 	maxNumber    = 24                    // digits
 	closeEvery   = 5 * time.Millisecond  // looks at what is left while the front closes
+
+	// A req that begins to be read has this long at least to be answered before the front is closed.
+	lastCall = 200 * time.Millisecond
 )
 
 // Options set up a Front.
@@ -64,6 +67,7 @@
 	serves   chan struct{}            // closed then
 	accepted chan struct{}            // closed once it accepts nothing more: all sessions are counted
 	part     float64                  // of the client sessions allowed; guarded by mu
+	lastCall time.Duration
 
 	mu      sync.Mutex
 	waiting map[reducer.ReqID]chan reducer.Answer
@@ -76,7 +80,7 @@
 	}
 	f := &Front{
 		opt: opt, classes: map[string]*lemongate.Class{}, plans: map[string]bool{},
-		waiting: map[reducer.ReqID]chan reducer.Answer{}, serves: make(chan struct{}), accepted: make(chan struct{}), part: 1,
+		waiting: map[reducer.ReqID]chan reducer.Answer{}, serves: make(chan struct{}), accepted: make(chan struct{}), part: 1, lastCall: lastCall,
 	}
 	for i, c := range opt.Settings.Classes {
 		f.classes[c.Name] = &opt.Settings.Classes[i]
@@ -120,6 +124,7 @@
 	close(f.serves)
 	go l.keepSweeping()
 	defer close(f.accepted)
+	defer listener.Close()
 	defer l.Close()
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !f.closes.Load() {
 		return fmt.Errorf("front: %w", err)
@@ -199,36 +204,38 @@
 func (f *Front) EndSessions() {
 	f.ends.Store(true)
 	if l := f.sessions.Load(); l != nil {
-		l.endIdle()
+		l.end()
 	}
 }
 
 // Close accepts nothing more and waits for the reqs in hand to be answered, and for sessions
-// that are given away to be gone.
+// that are given away to be gone. Shortly before the time is up no further req is read.
 func (f *Front) Close(within time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
 	f.closes.Store(true)
 	if l := f.sessions.Load(); l != nil {
+		over, last := time.After(within), time.After(within-f.lastCall)
 		l.Close()
-		select {
-		case <-f.accepted: // one that the system has given out may not be among the sessions before
-		case <-ctx.Done():
-		}
-		for ctx.Err() == nil {
-			moves, left := l.moves()
-			if !moves {
-				left = l.endIdle()
+		accepted := f.accepted // one that the system has given out may not be among the sessions before
+		look := time.NewTicker(closeEvery)
+		defer look.Stop()
+		for accepted != nil || l.count() > 0 {
+			select {
+			case <-accepted:
+				accepted = nil
+				if !l.moves() {
+					l.end()
+				}
+			case <-look.C:
+			case <-last:
+				l.shutIn()
+			case <-over:
+				f.opt.Log.Warn("client sessions left open", zap.Int("sessions", l.count()))
+				f.server.Close()
+				return
 			}
-			if left == 0 {
-				break
-			}
-			time.Sleep(closeEvery)
 		}
 	}
-	if err := f.server.Shutdown(ctx); err != nil {
-		f.opt.Log.Warn("client sessions left open", zap.Error(err))
-	}
+	f.server.Close()
 }
 
 // Answer hands a req its answer. It never blocks.
@@ -248,7 +255,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.RequestURI == "/ready" && r.Method == http.MethodGet {
-		f.serveReady(w)
+		if sessionOf(r).serves() {
+			f.serveReady(w)
+		}
 		return
 	}
 	ev, problem := f.read(r)
@@ -256,28 +265,27 @@
 		f.turnAway(w, r, problem)
 		return
 	}
-	if sessionOf(r).enter(busy) == closed {
-		panic(http.ErrAbortHandler) // closed between reqs, with this one read behind the one before
+	if !sessionOf(r).serves() {
+		panic(http.ErrAbortHandler)
 	}
 	answer := make(chan reducer.Answer, 1)
 	f.mu.Lock()
 	f.waiting[ev.ID] = answer
 	f.mu.Unlock()
 	f.opt.Post(ev)
-	select {
-	case a := <-answer:
-		if f.ends.Load() { // by now
-			w.Header().Set("Connection", "close")
+	left := r.Context().Done()
+	for {
+		select {
+		case a := <-answer:
+			if f.ends.Load() { // by now
+				w.Header().Set("Connection", "close")
+			}
+			write(w, a)
+			return
+		case <-left: // or it ended its sending and reads on: nothing tells the two apart, so it is answered
+			left = nil
+			f.opt.Post(&reducer.Left{Req: ev.ID})
 		}
-		write(w, a)
-	case <-r.Context().Done(): // the client has gone
-		f.mu.Lock()
-		delete(f.waiting, ev.ID)
-		f.mu.Unlock()
-		f.opt.Post(&reducer.Left{Req: ev.ID})
-		// Or net/http's server answers 200 with nothing: a client that only ended its sending
-		// would take that for its answer.
-		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -286,7 +294,7 @@
 func (f *Front) turnAway(w http.ResponseWriter, r *http.Request, p *problem) {
 	f.opt.Post(reducer.Malformed{Cause: p.cause})
 	s := sessionOf(r)
-	if s.enter(busy) == closed {
+	if !s.serves() {
 		panic(http.ErrAbortHandler)
 	}
 	// Beyond a body that is left unread the session ends too: in full duplex net/http's
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -35,6 +35,18 @@
 
 func serveOn(t *testing.T, l net.Listener, change ...func(*Options)) *rig {
 	t.Helper()
+	r := build(l, change...)
+	r.run(t, l)
+	return r
+}
+
+func (r *rig) run(t *testing.T, l net.Listener) {
+	go r.Serve(l)
+	t.Cleanup(func() { r.server.Close() })
+	<-r.serves
+}
+
+func build(l net.Listener, change ...func(*Options)) *rig {
 	r := &rig{addr: l.Addr().String(), events: make(chan reducer.Event, 16)}
 	opt := Options{
 		Settings: lemongate.Settings{
@@ -54,8 +66,6 @@
 		c(&opt)
 	}
 	r.Front = New(opt)
-	go r.Serve(l)
-	t.Cleanup(func() { r.server.Close() })
 	return r
 }
 
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -23,6 +23,7 @@
 	silentFor   = 100 * time.Millisecond // a usual client sends its req with the connection
 	halfFor     = time.Second            // and sends it in one piece
 	writeWithin = 10 * time.Second       // for what is written to be taken
+	lastAccept  = 20 * time.Millisecond  // for who has connected already to be taken in, at the end
 )
 
 // crowdedPart is the part of the bound on client sessions above which those
@@ -35,9 +36,9 @@
 
 const (
 	silent  sessionState = iota // it never sent a byte
-	reading                     // a req has begun to come
+	reading                     // a req has begun to come, or may have: what came behind the one before is not looked at yet
 	busy                        // a req is being decided or answered
-	idle                        // between reqs
+	idle                        // between reqs: the next one is waited for
 	ending                      // answered for the last time; lingers so that the client can read it
 	closed
 	nStates
@@ -59,7 +60,7 @@
 
 	raw    syscall.RawConn // nil where there is no socket
 	begun  time.Time       // when the req that is coming in began to
-	ahead  bool            // a byte was read beside an open req: the next one's
+	came   bool            // a byte of it was read since the one before was whole
 	parked bool            // the server waits at the socket for more of a req, so none is whole
 }
 
@@ -70,7 +71,8 @@
 //
 // Which session is closed and that it is, is one step under mu, as are a read and
 // what it means: a session that is closed has had no byte of a req read since it
-// was last between reqs, or waits for more of one.
+// was last between reqs, or waits for more of one. Its client is told by a reset that
+// the limiter has not read what it may have sent.
 type sessions struct {
 	net.Listener
 	most    int // sessions; 0 for no bound
@@ -84,6 +86,8 @@
 	closer sync.Once
 	part   float64       // of most, while another process has the rest
 	paused chan struct{} // closed when accepting goes on; nil while it does
+	ends   bool          // a session that gets between reqs is closed
+	shut   bool          // no more of any req is read
 
 	// give hands a session between reqs to another process; nil while they stay.
 	give func(syscall.Conn) error
@@ -93,9 +97,10 @@
 	return &sessions{Listener: l, most: most, now: now, onClose: onClose, stop: make(chan struct{}), part: 1}
 }
 
-// Accept takes the next client in, and closes a session for it if need be.
+// Accept takes the next client in, and closes a session for it if need be. After Close it still
+// takes those in that the system has let connect by then.
 func (a *sessions) Accept() (net.Conn, error) {
-	for {
+	for last := false; ; {
 		c, err := a.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			a.mu.Lock()
@@ -104,9 +109,17 @@
 			if paused != nil {
 				select {
 				case <-paused:
-				case <-a.stop:
+					continue
+				case <-a.stop: // who comes now is another process's
+					last = true
 				}
 			}
+			if last {
+				a.Listener.Close()
+				return nil, net.ErrClosed
+			}
+			last = true
+			a.Listener.(deadliner).SetDeadline(time.Now().Add(lastAccept))
 			continue
 		}
 		if err != nil {
@@ -216,6 +229,11 @@
 // Close ends accepting and sweeping; open sessions go on.
 func (a *sessions) Close() error {
 	a.closer.Do(func() { close(a.stop) })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l, ok := a.Listener.(deadliner); ok {
+		return l.SetDeadline(time.Unix(1, 0)) // Accept closes it, once nobody waits there
+	}
 	return a.Listener.Close()
 }
 
@@ -271,26 +289,49 @@
 	return closing{}
 }
 
-// endIdle closes all sessions between reqs, and counts those left. One whose next req is in the
+// end closes all sessions between reqs, now and as they get there. One whose next req is in the
 // socket answers that first.
-func (a *sessions) endIdle() (left int) {
+func (a *sessions) end() {
+	a.mu.Lock()
+	a.ends = true
+	a.mu.Unlock()
 	for {
 		a.mu.Lock()
 		out := a.oldest(idle, 0)
-		left = a.open
 		a.mu.Unlock()
 		if out.session == nil {
-			return left
+			return
 		}
 		out.session.Conn.Close()
 	}
 }
 
-// moves tells whether sessions are given away, and how many are left.
-func (a *sessions) moves() (is bool, left int) {
+// shutIn has no more of any req read, and closes the sessions on which none is whole.
+func (a *sessions) shutIn() {
+	a.mu.Lock()
+	a.shut = true
+	var out []*session
+	for _, state := range []sessionState{silent, idle, reading} {
+		for e := a.lists[state].Front(); e != nil; e = e.Next() {
+			if s := e.Value.(*session); state != reading || s.parked {
+				out = append(out, s)
+			}
+		}
+	}
+	for _, s := range out {
+		s.move(closed)
+	}
+	a.mu.Unlock()
+	for _, s := range out {
+		s.Conn.Close()
+	}
+}
+
+// moves tells whether sessions are given away.
+func (a *sessions) moves() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.give != nil, a.open
+	return a.give != nil
 }
 
 // sweep closes what has been idle for long while many sessions are open.
@@ -375,6 +416,7 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	s.asks(len(p) > 1) // net/http's server reads one byte beside a req that is whole
 	if s.leaves() {
 		return 0, io.EOF // closed here, open there
 	}
@@ -382,39 +424,27 @@
 		n, err = s.Conn.Read(p)
 		s.all.mu.Lock()
 		defer s.all.mu.Unlock()
-		s.came(n)
+		s.took(n)
 		return n, err
 	}
 	ioErr := s.raw.Read(func(fd uintptr) bool {
-		s.all.mu.Lock()
-		defer s.all.mu.Unlock()
-		s.parked = false
-		if s.state == closed {
-			n, err = 0, net.ErrClosed
-			return true
-		}
-		for {
-			if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
-				break
-			}
+		n, err = s.receive(fd, p)
+		return err != syscall.EAGAIN
+	})
+	if errors.Is(ioErr, os.ErrDeadlineExceeded) {
+		if s.leaves() {
+			return 0, io.EOF
 		}
-		if err == syscall.EAGAIN {
-			s.parked = len(p) > 1 // net/http's server reads one byte beside a req that is whole
-			return false
+		// The limiter may have stood still: a time counts as over only where nothing has come in it.
+		if s.raw.Control(func(fd uintptr) { n, err = s.receive(fd, p) }) == nil && err != syscall.EAGAIN {
+			ioErr = nil
 		}
-		n = max(n, 0)
-		s.came(n)
-		return true
-	})
-	if ioErr != nil {
-		s.all.mu.Lock()
-		s.parked = false
-		s.all.mu.Unlock()
 	}
 	switch {
-	case errors.Is(ioErr, os.ErrDeadlineExceeded) && s.leaves():
-		return 0, io.EOF
 	case ioErr != nil:
+		s.all.mu.Lock()
+		s.parked = false
+		s.all.mu.Unlock()
 		return 0, ioErr
 	case err != nil:
 		return 0, err
@@ -424,35 +454,77 @@
 	return n, nil
 }
 
-// came notes bytes that were read; all.mu is held.
-func (s *session) came(n int) {
+// asks tells that the server wants more of a req. If nothing of one came since the one before was
+// over, that one was all there was in its buffer, and the session is between reqs.
+func (s *session) asks(more bool) {
+	s.all.mu.Lock()
+	defer s.all.mu.Unlock()
+	if more && s.state == reading && !s.came {
+		s.move(idle)
+	}
+}
+
+// receive reads what is in the socket.
+func (s *session) receive(fd uintptr, p []byte) (n int, err error) {
+	s.all.mu.Lock()
+	defer s.all.mu.Unlock()
+	s.parked = false
+	if s.all.ends && s.state == idle && !s.waits() || s.all.shut && len(p) > 1 {
+		s.move(closed)
+	}
+	if s.state == closed {
+		return 0, net.ErrClosed
+	}
+	for {
+		if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
+			break
+		}
+	}
+	s.parked = err == syscall.EAGAIN && len(p) > 1
+	n = max(n, 0)
+	s.took(n)
+	return n, err
+}
+
+// took notes bytes that were read; all.mu is held.
+func (s *session) took(n int) {
 	if n <= 0 {
 		return
 	}
-	s.ahead = s.state == busy
 	if s.state == idle {
 		s.begun = s.all.now() // a session's first req counts from its start
 	}
-	if s.state == idle || s.state == silent {
+	if s.came = true; s.state == idle || s.state == silent {
 		s.move(reading)
 	}
 }
 
+// serves tells that a req is whole, and whether it is to be decided: not on a session that is closed.
+func (s *session) serves() bool {
+	s.all.mu.Lock()
+	defer s.all.mu.Unlock()
+	s.came = false
+	return s.move(busy) != closed
+}
+
 // rest tells that a req is over and the next may come, or has begun to.
 func (s *session) rest() {
 	s.all.mu.Lock()
 	defer s.all.mu.Unlock()
-	if s.ahead {
-		s.ahead, s.begun = false, s.all.now()
-		s.move(reading)
-		return
-	}
-	s.move(idle)
+	s.begun = s.all.now()
+	s.move(reading)
 }
 
 // Write bounds the time that a client takes to read: one that does not would
-// hold its session and the answer's memory for good.
+// hold its session and the answer's memory for good. On a session that is closed
+// net/http's server would still answer what it takes for a bad req.
 func (s *session) Write(p []byte) (int, error) {
+	s.all.mu.Lock()
+	was := s.state
+	s.all.mu.Unlock()
+	if was == closed {
+		return 0, net.ErrClosed
+	}
 	s.Conn.SetWriteDeadline(s.all.now().Add(writeWithin))
 	return s.Conn.Write(p)
 }
