Cut the stores of sets of five to eight limiters into parts, as those of smaller ones

Change: Holders is 8, not 4 (ledger.go); fewLimiters keeps what hung on it. Messages have version 6.

--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -14,7 +14,7 @@
 import "encoding/binary"
 
 const (
-	version    = 5
+	version    = 6
 	headSize   = 18
 	askSize    = 23
 	answerSize = 17
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -38,8 +38,11 @@
 	// Holders is how many limiters of a set have a part of a customer's stores at
 	// most. A larger set has one, the customer's home, that holds them whole: with
 	// many parts each would be under one req, and every limiter that has none would
-	// ask them in turn, most often one that is empty.
-	Holders = 4
+	// ask them in turn, most often one that is empty. A smaller set meets the customer
+	// so often that a home could not say a word to each req at the pace of messages.
+	Holders = 8
+
+	fewLimiters = 8 // in a tier of no more each pair has something to tell each other all the time
 
 	lenderWait   = askGivenUp + time.Duration(float64(askGivenUp)*2*Drift)
 	lenderLease  = Lease + time.Duration(float64(Lease)*2*Drift)
@@ -815,7 +818,7 @@
 // quiet tells whether a peer is silent that should not be. In a tier of many most
 // pairs have nothing to tell each other for seconds, and only an unanswered ask counts.
 func (l *Ledger) quiet(p *peer, now time.Duration) bool {
-	return p != nil && p.known && now-p.heard > silentFor && (p.missed || l.Limiters <= 2*Holders)
+	return p != nil && p.known && now-p.heard > silentFor && (p.missed || l.Limiters <= fewLimiters)
 }
 
 // Alone tells whether, with some other limiters out, this one is the last that holds the stores of a
