Take a connection that is late or breaks for a failure, not for a backend that is gone

Excluded: refused connections, which eject at once as before; the window, which stood at 4 to 10 with 1 to 3 attempts out. Change: Disconnected, beside Unreachable, counts in the share of failures: three in a row eject. TestLateConnections and TestLateConnectionIsNotRefused fail without.

--- a/api.go
+++ b/api.go
@@ -150,14 +150,17 @@
 	Errored                   // the backend failed; it may have run
 	TurnedAway                // full or draining; never ran
 	TimedOut                  // may have run
-	Unreachable               // no connection; never ran
+	Unreachable               // connections are refused there; never ran
 	Broken                    // connection lost; may have run
 	Canceled                  // may have run
 	NotSent                   // never ran
+	Disconnected              // no connection came up in time, or it broke before the last byte; never ran
 )
 
 // NeverRan tells whether a result proves that the attempt never ran.
-func (r Result) NeverRan() bool { return r == TurnedAway || r == Unreachable || r == NotSent }
+func (r Result) NeverRan() bool {
+	return r == TurnedAway || r == Unreachable || r == NotSent || r == Disconnected
+}
 
 // An Outcome ends an attempt.
 type Outcome struct {
--- a/internal/fetch/crossing_test.go
+++ b/internal/fetch/crossing_test.go
@@ -230,3 +230,23 @@
 		t.Errorf("result %v", got.Result)
 	}
 }
+
+// A connection that does not come up in time says less of a backend than one that is refused: some come
+// up late, and others to the same backend do at once.
+func TestLateConnectionIsNotRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := pool(l.Addr().String(), func(o *Options) { o.ConnectTimeout = time.Nanosecond })
+	defer p.Close()
+	if got := p.fetch(get); got.Result != lemongate.Disconnected {
+		t.Errorf("late: %v", got.Result)
+	}
+	l.Close()
+	p = pool(l.Addr().String())
+	defer p.Close()
+	if got := p.fetch(get); got.Result != lemongate.Unreachable {
+		t.Errorf("refused: %v", got.Result)
+	}
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -371,7 +371,7 @@
 func (p *Pool) fetch(ctx context.Context, f *fetch, e reducer.StartFetch) (lemongate.Result, []float64, reducer.Content) {
 	for {
 		result, report, reply := p.try(ctx, f, e)
-		if result != lemongate.Unreachable {
+		if result != lemongate.Unreachable && result != lemongate.Disconnected {
 			return result, report, reply
 		}
 		c := f.on()
@@ -434,7 +434,7 @@
 		return lemongate.NotSent, nil, nil
 	}
 	if err != nil {
-		return p.broken(f), nil, nil
+		return p.broken(f, err), nil, nil
 	}
 	// What came before a byte was written answers another fetch. The connection is closed by then,
 	// but the transport may have the answer in its buffer, and hand it on before it sees that.
@@ -442,11 +442,11 @@
 		if any, _ := c.carried(f); !any {
 			c.Close()
 			resp.Body.Close()
-			return lemongate.Unreachable, nil, nil
+			return lemongate.Disconnected, nil, nil
 		}
 	}
 	if !ends(resp) { // before its Body is closed, which would read on
-		result := p.broken(f)
+		result := p.broken(f, errSpoilt)
 		resp.Body.Close()
 		return result, nil, nil
 	}
@@ -455,7 +455,7 @@
 	body, err := readBody(resp)
 	switch {
 	case err != nil:
-		return p.broken(f), report, nil
+		return p.broken(f, err), report, nil
 	case resp.StatusCode == http.StatusOK:
 		return lemongate.Done, report, &Reply{Type: resp.Header.Get("Content-Type"), Body: body}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
@@ -508,17 +508,22 @@
 }
 
 // broken tells what a fetch without a whole answer proves: it never ran if its
-// last byte was not written, and may have run otherwise.
-func (p *Pool) broken(f *fetch) lemongate.Result {
+// last byte was not written, and may have run otherwise. A connection that is late or
+// breaks says less of a backend than one that is refused.
+func (p *Pool) broken(f *fetch, err error) lemongate.Result {
 	c := f.on()
 	if c == nil {
+		var late net.Error
+		if errors.As(err, &late) && late.Timeout() {
+			return lemongate.Disconnected
+		}
 		return lemongate.Unreachable
 	}
 	c.giveUp(f) // nothing more of it may go out from here on
 	if _, all := c.carried(f); all && f.wrote.Load() {
 		return lemongate.Broken
 	}
-	return lemongate.Unreachable
+	return lemongate.Disconnected
 }
 
 var (
--- a/internal/lab/sim/backends.go
+++ b/internal/lab/sim/backends.go
@@ -89,7 +89,7 @@
 func (b *server) take(a *attempt) {
 	if b.silent {
 		b.sim.result.Dead++
-		b.sim.after(connectTimeout, func() { a.ended(lemongate.Unreachable, nil) })
+		b.sim.after(connectTimeout, func() { a.ended(lemongate.Disconnected, nil) })
 		return
 	}
 	if !b.up || b.refuses {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -521,7 +521,7 @@
 		r.count.Errored++
 	case lemongate.TurnedAway:
 		r.count.TurnedAway++
-	case lemongate.Unreachable:
+	case lemongate.Unreachable, lemongate.Disconnected:
 		r.count.Unreachable++
 	case lemongate.Broken:
 		r.count.Broken++
--- a/policy.go
+++ b/policy.go
@@ -813,7 +813,7 @@
 		// Trouble: it turns away one plan or class and has room for the rest; only that kind stays away.
 		b.avoid(g.kind(r), g.now+seconds(c.mean)+turnedTimes*ev.Latency)
 	case Unreachable:
-		// Nothing listens there, or its machine is lost: one sign tells more than a share of failures.
+		// Nothing listens there: one sign tells more than a share of failures.
 		b.fails = 1
 		g.spread(b, g.now)
 		g.eject(b)
--- a/policy_test.go
+++ b/policy_test.go
@@ -371,6 +371,7 @@
 		{"post", Broken, true, false},
 		{"pay", TurnedAway, true, false},
 		{"pay", Unreachable, true, false},
+		{"pay", Disconnected, true, false},
 		{"pay", Errored, false, true},
 		{"pay", Broken, false, true},
 	} {
@@ -1130,6 +1131,40 @@
 	}
 }
 
+// A connection that is late, or breaks under a request, is a failure like others: some are late where all
+// is well. The request goes on to another backend, and three in a row are needed to leave one alone.
+// Trouble: where a third of the connections came late, three in four backends were left alone.
+func TestLateConnections(t *testing.T) {
+	b := newBench(t, settings(), fleet("a", "b", "c", "d")...)
+	late := map[string]int{}
+	for range 3000 {
+		id := b.ask("read", "free", "x")
+		s := b.sent(id)
+		b.take()
+		b.now += 10 * ms
+		if s.Backend != "b" {
+			b.end(id, 0, s.Backend, Done, 10*ms)
+			b.take()
+			continue
+		}
+		ejected := b.g.known["b"].ejected()
+		b.end(id, 0, "b", Disconnected, 10*ms)
+		again := only[Send](b.take())
+		if len(again) != 1 || again[0].Backend == "b" {
+			t.Fatalf("sent again: %v", again)
+		}
+		b.end(id, 1, again[0].Backend, Done, 10*ms)
+		b.take()
+		if late["b"]++; !ejected && b.g.known["b"].ejected() != (late["b"] == 3) {
+			t.Fatalf("after %d late connections ejected: %v", late["b"], b.g.known["b"].ejected())
+		}
+		if late["b"] == 3 {
+			return
+		}
+	}
+	t.Errorf("tried %d times", late["b"])
+}
+
 // A refused connect tells that nothing listens: the backend is left alone after one, the req goes on to
 // another, peers are told, and who hears it leaves the backend alone too until somebody finds it well.
 // Trouble: after a release each of 80 gateways tried each of 36 that were gone two or three times.
