Judge each req by the plan that it names, under whatever else its customer is known

Observed by reading, then forced in tests: accounts were found by a hash of 32 bits of the customer's name alone, and records by the name; what came first set the plan and the set for good (ledger.go, Account and Asked; state.go, lookup). So a customer whose name hashes like another's, one whose plan changed, and one that a peer's datagram spoke of first went by another's quota and ceiling. A class or plan whose name has a space, a percent sign or letters beyond ASCII was turned away (front.go, read and word); plans from number 256 on were told to peers as others; of two with one name the last counted. Excluded: class lookups, the budget's history, what backends turn away (kind), list entries: by whole names or places. Change: accounts are found by hash, plan and set, answers by the ask that they name; records by name and plan; plans and classes by their whole names, escaped in a path or not; names that come twice and over 255 plans are told at the start.

--- a/api.go
+++ b/api.go
@@ -146,15 +146,15 @@
 type Result uint8
 
 const (
-	Done        Result = iota // served
-	Errored                   // the backend failed; it may have run
-	TurnedAway                // full or draining; never ran
-	TimedOut                  // may have run
-	Unreachable               // connections are refused there; never ran
-	Broken                    // connection lost; may have run
-	Canceled                  // may have run
-	NotSent                   // never ran
-	Disconnected              // no connection came up in time, or it broke before the last byte; never ran
+	Done         Result = iota // served
+	Errored                    // the backend failed; it may have run
+	TurnedAway                 // full or draining; never ran
+	TimedOut                   // may have run
+	Unreachable                // connections are refused there; never ran
+	Broken                     // connection lost; may have run
+	Canceled                   // may have run
+	NotSent                    // never ran
+	Disconnected               // no connection came up in time, or it broke before the last byte; never ran
 )
 
 // NeverRan tells whether a result proves that the attempt never ran.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -164,6 +164,9 @@
 	return nil
 }
 
+// plansMost is how many plans limiters can tell apart in what they say of customers.
+const plansMost = 255
+
 // check finds what would only fail later, or quietly.
 func (c *Config) check() error {
 	s := &c.Settings
@@ -176,11 +179,25 @@
 		return errors.New("limits: below zero")
 	case len(s.Plans) == 0:
 		return errors.New("settings: no plans")
+	case len(s.Plans) > plansMost:
+		return fmt.Errorf("settings: %d plans, %d at most", len(s.Plans), plansMost)
+	}
+	names := map[string]bool{}
+	for _, p := range s.Plans {
+		if names[p.Name] {
+			return fmt.Errorf("settings: plan %q twice", p.Name)
+		}
+		names[p.Name] = true
 	}
+	clear(names)
 	for _, class := range s.Classes {
 		if class.Name == "" || class.Deadline <= 0 {
 			return fmt.Errorf("settings: class %q: no deadline", class.Name)
 		}
+		if names[class.Name] {
+			return fmt.Errorf("settings: class %q twice", class.Name)
+		}
+		names[class.Name] = true
 	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -71,6 +72,15 @@
 	}
 }
 
+// plans words as many, each with its own name.
+func plans(n int) string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf(`{"name":"p%d"}`, i))
+	}
+	return strings.Join(list, ",")
+}
+
 // A bad configuration is told in one plain line.
 func TestMalformed(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
@@ -86,6 +96,9 @@
 		{`"instanceId":"s-1"`, `"instanceId":""`, "known: "},
 		{`"deadline_s":2,`, "", "no deadline"},
 		{`{"name":"small","refill":2,"depth":7}`, "", "no plans"},
+		{`{"name":"small","refill":2,"depth":7}`, `{"name":"small"},{"name":"Small"},{"name":"small"}`, `plan "small" twice`},
+		{`{"name":"small","refill":2,"depth":7}`, plans(256), "256 plans, 255 at most"},
+		{`"classes":[`, `"classes":[{"name":"read","effect":"at_most_once","deadline_s":9},`, `class "read" twice`},
 		{`"effect":"idempotent"`, `"effect":"x"`, "unknown effect"},
 		{`"settings":{`, `"other":{`, "settings: "},
 	} {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -337,6 +338,10 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	name, customer, ok := splitPath(path)
 	class := f.classes[name]
+	if class == nil { // a name may have signs that a path has in another form
+		name, _ = url.PathUnescape(name)
+		class = f.classes[name]
+	}
 	// net/http takes a chunked body and drops a Content-Length beside it unseen,
 	// and under HTTP/1.0 drops Transfer-Encoding: such a body may hide another
 	// req. Clients here send a length, so what comes without is not looked into.
@@ -352,7 +357,10 @@
 	}
 	id, idOK := word(h, "X-Call-Id")
 	key, keyOK := word(h, "Idempotency-Key")
-	plan, planOK := word(h, "Plan")
+	plan, planOK := "", len(h["Plan"]) == 1 // any sign may be in a name, and it is known or not
+	if planOK {
+		plan = h["Plan"][0]
+	}
 	text, budgetOK := word(h, "X-Budget")
 	budget, known := parseBudget(text)
 	budgetOK = budgetOK && known && budget <= class.Deadline+budgetSlack
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -172,6 +173,39 @@
 	}
 }
 
+// Classes and plans are known by their whole names, whatever signs these have: none is taken for another
+// that is like it.
+func TestOddNames(t *testing.T) {
+	names := []string{"read", "Read", "read-2", "read 2", "ünter", "a%20b", "q?", "x.y~z"}
+	r := serve(t, func(o *Options) {
+		o.Settings.Classes, o.Settings.Plans = nil, nil
+		for i, n := range names {
+			o.Settings.Classes = append(o.Settings.Classes, lemongate.Class{Name: n, Effect: lemongate.Keyed, Deadline: time.Duration(i+1) * time.Second})
+			o.Settings.Plans = append(o.Settings.Plans, lemongate.Plan{Name: n})
+		}
+	})
+	s := r.session(t)
+	for i, n := range names {
+		s.send(strings.NewReplacer("/post/", "/"+url.PathEscape(n)+"/", "team", names[len(names)-1-i], "480m", fmt.Sprintf("%dm", (i+1)*1000)).Replace(good))
+		ev, ok := (<-r.events).(*reducer.Arrived)
+		if !ok || ev.Class != n || ev.Plan != names[len(names)-1-i] {
+			t.Fatalf("%q: %+v", n, ev)
+		}
+		r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Refused})
+		s.answer()
+	}
+	for _, n := range []string{"READ", "rea", "read-", "read%", "", "read-22"} {
+		s.send(strings.Replace(good, "team", n, 1))
+		if resp, _ := s.answer(); resp.StatusCode/100 != 4 {
+			t.Errorf("%q: %d", n, resp.StatusCode)
+		}
+		if ev, ok := (<-r.events).(reducer.Malformed); !ok {
+			t.Errorf("%q: posted %+v", n, ev)
+		}
+		s = r.session(t)
+	}
+}
+
 // What is no valid req is answered 4xx at once, but not as a refusal, counted,
 // and never reaches the reducer.
 func TestMalformed(t *testing.T) {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -143,8 +143,8 @@
 	mean     float64 // of total, over meanOver, while all peers are heard
 	spread   float64 // mean square of how it strays from that
 	looks    int
-	accounts map[uint32]*Account
-	order    []*Account `json:"-"` // as first met
+	accounts map[uint32][]*Account // by the hash of the customer's name, which two may share
+	order    []*Account            `json:"-"` // as first met
 	swept    int
 	peers    map[int]*peer
 	nonce    uint16
@@ -171,7 +171,7 @@
 // New starts a Ledger at a time.
 func New(c Config, now time.Duration) *Ledger {
 	c.Limiters = max(c.Limiters, 1)
-	l := &Ledger{Config: c, born: now, accounts: map[uint32]*Account{}, peers: map[int]*peer{}}
+	l := &Ledger{Config: c, born: now, accounts: map[uint32][]*Account{}, peers: map[int]*peer{}}
 	if !c.Talks || c.Limiters == 1 {
 		l.standing = Fresh // nothing else could ever tell
 	}
@@ -209,12 +209,13 @@
 }
 
 // Account finds or starts a customer's account. Its set is size limiters in a
-// row from first.
+// row from first. Customers whose names share a hash share an account only where
+// they have the same plan and set: none goes by another's settings.
 func (l *Ledger) Account(hash uint32, plan, first, size int, now time.Duration) *Account {
-	a := l.accounts[hash]
+	a := l.Find(hash, plan, first, size)
 	if a == nil {
 		a = &Account{Hash: hash, Plan: plan, ledger: l, first: first % l.Limiters, size: min(max(size, 1), l.Limiters), at: l.born}
-		l.accounts[hash] = a
+		l.accounts[hash] = append(l.accounts[hash], a)
 		l.order = append(l.order, a)
 		p := a.plan()
 		a.even = 1 / float64(a.size)
@@ -253,7 +254,32 @@
 }
 
 // Find gives a customer's account, nil if there is none.
-func (l *Ledger) Find(hash uint32) *Account { return l.accounts[hash] }
+func (l *Ledger) Find(hash uint32, plan, first, size int) *Account {
+	first, size = first%l.Limiters, min(max(size, 1), l.Limiters)
+	for _, a := range l.accounts[hash] {
+		if a.Plan == plan && a.first == first && a.size == size {
+			return a
+		}
+	}
+	return nil
+}
+
+// askedOf finds the account that an answer of a peer is about: the one that asked, or of a word
+// unasked the only one with that hash.
+func (l *Ledger) askedOf(who int, m peermsg.Answer) *Account {
+	list := l.accounts[m.Customer]
+	for _, a := range list {
+		for i := range a.links {
+			if k := &a.links[i]; k.peer == who && k.pending && k.nonce == m.Nonce {
+				return a
+			}
+		}
+	}
+	if len(list) == 1 {
+		return list[0]
+	}
+	return nil
+}
 
 // Relink builds what follows from the rest in a Ledger that was unpacked from another
 // process's. The configuration has to be that one's.
@@ -261,25 +287,23 @@
 	c.Limiters = max(c.Limiters, 1)
 	l.Config = c
 	for _, hash := range slices.Sorted(maps.Keys(l.accounts)) {
-		a := l.accounts[hash]
-		a.ledger, a.asked, a.word = l, false, silence
-		l.order = append(l.order, a)
-		if a.mine == 0 && !a.small() {
-			l.homed = append(l.homed, a)
-		}
-		for i := range a.links {
-			if k := &a.links[i]; k.queued {
-				p := l.peer(k.peer)
-				p.asks = append(p.asks, a)
-				l.wants(k.peer, p)
+		for _, a := range l.accounts[hash] {
+			a.ledger, a.asked, a.word = l, false, silence
+			l.order = append(l.order, a)
+			if a.mine == 0 && !a.small() {
+				l.homed = append(l.homed, a)
+			}
+			for i := range a.links {
+				if k := &a.links[i]; k.queued {
+					p := l.peer(k.peer)
+					p.asks = append(p.asks, a)
+					l.wants(k.peer, p)
+				}
 			}
 		}
 	}
 }
 
-// Set tells which limiters a customer's are: size in a row from first.
-func (a *Account) Set() (first, size int) { return a.first, a.size }
-
 // holders are the limiters of a small set, each of which has a base part of the
 // stores.
 func (l *Ledger) holders(a *Account) []int {
@@ -652,13 +676,10 @@
 		return
 	}
 	seen := now
-	if old := l.accounts[m.Customer]; old != nil {
+	if old := l.Find(m.Customer, int(m.Plan), int(m.First), size); old != nil {
 		seen = max(old.seen, now-demandMemory)
 	}
 	a := l.Account(m.Customer, int(m.Plan), int(m.First), size, now)
-	if a.Plan != int(m.Plan) || a.size != size || a.first != int(m.First) {
-		return // one of the two is wrong, and nothing may move
-	}
 	a.seen = max(a.seen, seen)
 	a.advance(now)
 	if !a.small() {
@@ -746,7 +767,7 @@
 // Answered takes in what a peer moved here. It gives the account if the answer
 // is one to an ask that is out, for reqs that wait.
 func (l *Ledger) Answered(who int, m peermsg.Answer, now time.Duration) *Account {
-	a := l.accounts[m.Customer]
+	a := l.askedOf(who, m)
 	if a == nil {
 		return nil
 	}
@@ -864,7 +885,10 @@
 			l.swept++
 			continue
 		}
-		delete(l.accounts, a.Hash)
+		same := slices.DeleteFunc(l.accounts[a.Hash], func(o *Account) bool { return o == a })
+		if l.accounts[a.Hash] = same; len(same) == 0 {
+			delete(l.accounts, a.Hash)
+		}
 		a.Gone = true
 		if a.mine == 0 {
 			l.homed = slices.DeleteFunc(l.homed, func(o *Account) bool { return o == a })
@@ -893,7 +917,7 @@
 // Counters tells the counters as they stand.
 func (l *Ledger) Counters(now time.Duration) Counters {
 	c := l.Count
-	c.Accounts, c.Standing = len(l.accounts), l.standing.String()
+	c.Accounts, c.Standing = len(l.order), l.standing.String()
 	for _, p := range l.peers {
 		if p.known && now-p.heard > silentFor {
 			c.Silent++
--- a/policy_test.go
+++ b/policy_test.go
@@ -289,7 +289,7 @@
 		t.Errorf("%d of 30 refused, want all beyond this gateway's 10", refused)
 	}
 	b.pass(time.Second)
-	if got := b.g.ledger.Ceiling(b.g.customers["x"].account, b.now); got < 9 {
+	if got := b.g.ledger.Ceiling(b.g.customers[customerKey{"x", "capped"}].account, b.now); got < 9 {
 		t.Errorf("ceiling store holds %.1f after all was refused unsent, want it given back", got)
 	}
 }
@@ -1550,3 +1550,47 @@
 		}
 	}
 }
+
+// alike gives two names of customers that have one hash.
+func alike(t *testing.T) (a, b string) {
+	t.Helper()
+	met := map[uint32]string{}
+	for i := range 1 << 20 {
+		name := fmt.Sprintf("%016x", i)
+		if other, twice := met[hashOf(name)]; twice {
+			return other, name
+		}
+		met[hashOf(name)] = name
+	}
+	t.Fatal("none")
+	return "", ""
+}
+
+// A request is judged by the plan that it names, whatever else is known under its customer's name, under
+// a name with the same hash, or said of it by a peer: none goes by another's settings.
+func TestNobodyGoesByAnothersPlan(t *testing.T) {
+	one, two := alike(t)
+	for name, before := range map[string]func(b *bench){
+		"none":               func(*bench) {},
+		"a name like it":     func(b *bench) { b.ask("read", "free", one) },
+		"itself, elsewhere":  func(b *bench) { b.ask("read", "free", two) },
+		"itself, set larger": func(b *bench) { b.ask("read", "free", two); b.ask("read", "small", two) },
+		"said by a peer": func(b *bench) {
+			ask := peermsg.Ask{Customer: hashOf(two), Plan: 0, Size: 2, Nonce: 1, Want: 16, Whole: peermsg.Unknown}
+			b.do(&PeerMessage{From: 1, Data: peermsg.Message{Epoch: 5, Seq: 1, Asks: []peermsg.Ask{ask}}.Append(nil)})
+		},
+	} {
+		b := newBench(t, settings(), fleet("a", "b", "c", "d")...)
+		before(b)
+		b.pass(200 * ms)
+		b.now = 10 * time.Second
+		b.take()
+		for range 30 {
+			b.ask("read", "capped", two)
+		}
+		b.pass(160 * ms)
+		if refused := len(only[Refuse](b.take())); refused != 20 {
+			t.Errorf("%s: %d of 30 refused, want all beyond the 10 of its own plan's ceiling here", name, refused)
+		}
+	}
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -96,19 +96,18 @@
 		return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Aim, b.Aim))
 	})
 	g.ledger.Relink(g.quotaConfig())
-	for _, c := range g.customers {
-		c.plan, c.held, c.open = &Plan{}, 0, 0
-		if c.number < len(g.set.Plans) {
-			c.plan = &g.set.Plans[c.number]
+	g.order = slices.DeleteFunc(g.order, func(c *customer) bool {
+		if c.number >= len(g.set.Plans) { // of none of the settings: its requests are all that there is of it
+			return true
 		}
-		if c.account = g.ledger.Find(hashOf(c.name)); c.account == nil {
-			delete(g.customers, c.name)
-			continue
+		c.plan, c.held, c.open = &g.set.Plans[c.number], 0, 0
+		if c.account = g.ledger.Find(hashOf(c.name), c.number, c.first, c.size); c.account == nil {
+			return true
 		}
 		g.places(c)
-		g.order = append(g.order, c)
-	}
-	slices.SortFunc(g.order, func(a, b *customer) int { return cmp.Compare(a.name, b.name) })
+		g.customers[customerKey{c.name, c.plan.Name}] = c
+		return false
+	})
 	for _, b := range g.known {
 		if b.told > 0 {
 			g.news = append(g.news, b)
@@ -173,16 +172,17 @@
 	for _, p := range g.peers {
 		p.sent = 0
 	}
-	g.customers, g.order = map[string]*customer{}, nil
+	g.customers, g.order = map[customerKey]*customer{}, nil
 	for _, r := range g.requests { // those that are out still count
 		c := r.customer
-		if g.customers[c.name] == nil {
-			first, size := c.account.Set()
-			c.account = g.ledger.Account(c.account.Hash, c.number, first, size, g.now)
-			g.customers[c.name], g.order = c, append(g.order, c)
+		if key := (customerKey{c.name, c.plan.Name}); g.customers[key] == nil {
+			c.account = g.ledger.Account(c.account.Hash, c.number, c.first, c.size, g.now)
+			g.customers[key], g.order = c, append(g.order, c)
 			g.places(c)
 		}
 	}
-	slices.SortFunc(g.order, func(a, b *customer) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(g.order, func(a, b *customer) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.plan.Name, b.plan.Name))
+	})
 	g.greet()
 }
--- a/state.go
+++ b/state.go
@@ -19,7 +19,7 @@
 	g := &Gateway{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0)), peers: map[int]*peer{}, byName: map[string]*class{},
 		plans: map[string]int{}, requests: map[RequestID]*request{}, known: map[string]*backend{},
-		byKey: map[uint32]*backend{}, customers: map[string]*customer{}, tryUntil: math.MaxInt64,
+		byKey: map[uint32]*backend{}, customers: map[customerKey]*customer{}, tryUntil: math.MaxInt64,
 	}
 	g.set.Gateways = max(set.Gateways, 1)
 	for _, c := range set.Classes {
@@ -61,13 +61,13 @@
 	news     []*backend          `json:"-"` // seen of late and not yet told often enough
 	meanLoad float64             // of the load reports seen here
 
-	ledger    *quota.Ledger // what is held here of the customers' stores
-	customers map[string]*customer
-	order     []*customer   `json:"-"` // as first met
-	asking    []*customer   `json:"-"` // whose requests wait for the others' word
-	first     time.Duration // when the first request came
-	left      bool          // this gateway leaves
-	starting  []float64     // how busy backends were when they were first heard of
+	ledger    *quota.Ledger             // what is held here of the customers' stores
+	customers map[customerKey]*customer `json:"-"`
+	order     []*customer               // as first met
+	asking    []*customer               `json:"-"` // whose requests wait for the others' word
+	first     time.Duration             // when the first request came
+	left      bool                      // this gateway leaves
+	starting  []float64                 // how busy backends were when they were first heard of
 	peers     map[int]*peer
 	gap       time.Duration `json:"-"` // between messages to one peer
 	telling   []*peer       `json:"-"` // something is to be told there
@@ -164,10 +164,15 @@
 	reported bool // how busy it was at first is known
 }
 
+// A customerKey names a customer on a plan. A name may come with another plan, as after a change of
+// it; what a request is judged by is the plan that it names.
+type customerKey struct{ name, plan string }
+
 type customer struct {
 	name    string
 	plan    *Plan          `json:"-"`
 	number  int            // of the plan
+	first   int            // of its set
 	size    int            // of its set
 	account *quota.Account `json:"-"`
 	seen    time.Duration
@@ -672,7 +677,8 @@
 
 // lookup finds the record of a request's customer or starts one.
 func (g *Gateway) lookup(ev *Request) *customer {
-	c := g.customers[ev.Customer]
+	key := customerKey{ev.Customer, ev.Plan}
+	c := g.customers[key]
 	if c == nil {
 		number, listed := g.plans[ev.Plan]
 		c = &customer{name: ev.Customer, plan: &Plan{Name: ev.Plan}, number: len(g.set.Plans)}
@@ -680,9 +686,9 @@
 			c.plan, c.number = &g.set.Plans[number], number
 		}
 		c.size = min(max(ev.Spread, 1), g.set.Gateways)
-		first := (ev.First%g.set.Gateways + g.set.Gateways) % g.set.Gateways
-		c.account = g.ledger.Account(hashOf(ev.Customer), c.number, first, c.size, g.now)
-		g.customers[ev.Customer] = c
+		c.first = (ev.First%g.set.Gateways + g.set.Gateways) % g.set.Gateways
+		c.account = g.ledger.Account(hashOf(ev.Customer), c.number, c.first, c.size, g.now)
+		g.customers[key] = c
 		g.order = append(g.order, c)
 	}
 	return c
@@ -698,7 +704,7 @@
 	g.ledger.Sweep(seconds(forgetAims*g.aimLong.Seconds()), g.now)
 	g.order = slices.DeleteFunc(g.order, func(c *customer) bool {
 		if c.account.Gone {
-			delete(g.customers, c.name)
+			delete(g.customers, customerKey{c.name, c.plan.Name})
 		}
 		return c.account.Gone
 	})
