Call an attempt off only while its req may go out again

Observed by reading, then forced in a test: an attempt at a silent backend was called off although a repeat could not go out any longer, as its request counted as never run while that attempt was out (policy.go, unstick and lawful). With a short window a keyed req lost the only attempt it could have. Excluded: requests that may not run twice, which a condition of its own spared; lawful now tells that too. Change: lawful takes the attempt that is out for one that may run; the window counts from the first that may have. Measured: TestCalledOffWhileLawful fails without, for a window of 100 ms.

--- a/policy.go
+++ b/policy.go
@@ -378,13 +378,21 @@
 		g.now+seconds(r.class.mean) <= r.limit
 }
 
-// lawful tells whether another attempt may go out: a keyed one only while repeats are dropped for sure.
+// lawful tells whether another attempt may go out: a keyed one only while repeats are dropped for sure,
+// also where the one that is out is called off first, as it may have run.
 func (g *Gateway) lawful(r *request) bool {
-	return r.maybe == nil || r.class.Effect == Safe || r.class.Effect == Keyed && g.now < r.dropsUntil()
+	mayRun := r.maybe != nil || r.at != nil
+	return !mayRun || r.class.Effect == Safe || r.class.Effect == Keyed && g.now < r.dropsUntil()
 }
 
 // dropsUntil is when repeats of a keyed request that may have run are no longer dropped for sure.
-func (r *request) dropsUntil() time.Duration { return r.maybeAt + r.class.Window - r.class.Window/10 }
+func (r *request) dropsUntil() time.Duration {
+	first := r.maybeAt
+	if r.maybe == nil {
+		first = r.sent
+	}
+	return first + r.class.Window - r.class.Window/10
+}
 
 // end refuses a request where a new try is harmless, and fails it otherwise.
 func (g *Gateway) end(r *request) {
@@ -860,7 +868,7 @@
 				g.by(at)
 				break
 			}
-			free := g.set.MayCancel && !r.over && !r.called && !r.stream && r.class.Effect != Unsafe
+			free := g.set.MayCancel && !r.over && !r.called && !r.stream
 			if free && b.silent(r) && g.retriable(r, 1) {
 				r.called, r.saved = true, true
 				g.retryTokens-- // or several called off at once would have one further attempt between them
--- a/policy_test.go
+++ b/policy_test.go
@@ -1594,3 +1594,34 @@
 		}
 	}
 }
+
+// An attempt is called off only while its request may go out again: a keyed one at a silent backend is
+// waited for once its repeats are no longer dropped, and one that may not run twice in any case.
+func TestCalledOffWhileLawful(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		window time.Duration
+		off    bool
+	}{{"read", 0, true}, {"post", 10 * time.Second, true}, {"post", 100 * ms, false}, {"pay", 0, false}} {
+		set := settings()
+		set.Classes[1].Window = c.window
+		set.Classes[1].Group = GroupAll
+		b := newBench(t, set, fleet("a", "b", "c", "d")...)
+		for range 60 { // what attempts usually take
+			id := b.ask(c.class, "free", "x")
+			s := b.sent(id)
+			b.take()
+			b.now += 20 * ms
+			b.end(id, 0, s.Backend, Done, 20*ms)
+			b.take()
+		}
+		id := b.ask(c.class, "free", "x")
+		s := b.sent(id)
+		b.take()
+		b.pass(700 * ms)
+		off := slices.ContainsFunc(only[Cancel](b.acts), func(x Cancel) bool { return x.Request == id })
+		if off != c.off {
+			t.Errorf("%s, window %v: called off %v (sent %+v)", c.class, c.window, off, s)
+		}
+	}
+}
