--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,9 +115,10 @@
 
 // Serve accepts clients until Close.
 func (f *Front) Serve(listener net.Listener) error {
-	l := newSessions(listener, f.opt.Sessions, f.opt.Wall, func(was sessionState) {
-		f.opt.Post(&reducer.SessionClosed{Unread: was == silent || was == reading})
-	})
+	l := newSessions(listener, f.opt.Sessions, f.opt.Wall)
+	l.onClose = func(was sessionState) { f.opt.Post(&reducer.SessionClosed{Unread: was == silent || was == reading}) }
+	l.onFull = func(told bool) { f.opt.Post(&reducer.SessionClosed{Unread: !told, Full: told}) }
+	l.full = f.full()
 	f.mu.Lock()
 	l.share(f.part)
 	f.sessions.Store(l)
@@ -133,6 +134,15 @@
 	return nil
 }
 
+// full is what a newcomer is told for which there is no room.
+func (f *Front) full() []byte {
+	advice := ""
+	if d := f.opt.Settings.MaxRetryAfter; d > 0 {
+		advice = fmt.Sprintf("Retry-After: %.3f\r\n", d.Seconds())
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 429 Too Many Requests\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", advice)
+}
+
 // Adopt serves a client session that another process gave away between reqs.
 func (f *Front) Adopt(c net.Conn) {
 	<-f.serves
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -56,7 +56,7 @@
 				{Name: "read", Effect: lemongate.Safe, Deadline: time.Second},
 				{Name: "post", Effect: lemongate.Keyed, Deadline: 50 * time.Second},
 			},
-			Plans: []lemongate.Plan{{Name: "team"}},
+			Plans: []lemongate.Plan{{Name: "team"}}, MaxRetryAfter: 500 * time.Millisecond,
 		},
 		MostUnits: 4,
 		Now:       func() time.Duration { return 42 },
--- a/internal/front/model_test.go
+++ b/internal/front/model_test.go
@@ -234,6 +234,8 @@
 			o.t.Fatalf("client %d: %s was taken and has no answer", i, call)
 		case len(got) == 0:
 			return // the session ended before it was read
+		case got[0] == "429 " && !o.posted[call] && len(got) == 1:
+			return // there was no room for the session
 		case got[0] != "200 "+call && !(m.shut && strings.HasPrefix(got[0], "429")) && !(m.shut && m.half != "" && strings.HasPrefix(got[0], "400")):
 			o.t.Fatalf("client %d: %s was answered %q", i, call, got[0])
 		}
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -78,6 +78,8 @@
 	most    int // sessions; 0 for no bound
 	now     func() time.Time
 	onClose func(was sessionState) // a session was closed from this side, with no req open
+	onFull  func(told bool)        // a newcomer was turned away, and told so
+	full    []byte                 // how it is told
 
 	mu     sync.Mutex
 	lists  [nStates]list.List // by state, the longest in it first
@@ -93,8 +95,8 @@
 	give func(syscall.Conn) error
 }
 
-func newSessions(l net.Listener, most int, now func() time.Time, onClose func(sessionState)) *sessions {
-	return &sessions{Listener: l, most: most, now: now, onClose: onClose, stop: make(chan struct{}), part: 1}
+func newSessions(l net.Listener, most int, now func() time.Time) *sessions {
+	return &sessions{Listener: l, most: most, now: now, stop: make(chan struct{}), part: 1}
 }
 
 // Accept takes the next client in, and closes a session for it if need be. After Close it still
@@ -140,16 +142,16 @@
 	if full {
 		out = a.victim()
 	}
-	if full && out.session == nil { // all have reqs open: the newcomer is told so by a close
-		a.mu.Unlock()
-		c.Close()
-		a.onClose(silent)
-		return nil
-	}
 	s := &session{Conn: c, all: a, state: state, since: a.now(), begun: a.now()}
 	if c, ok := c.(syscall.Conn); ok {
 		s.raw, _ = c.SyscallConn()
 	}
+	if full && out.session == nil { // all have reqs open
+		came := s.waits()
+		a.mu.Unlock()
+		s.turnAway(came)
+		return nil
+	}
 	s.place = a.lists[state].PushBack(s)
 	a.open++
 	a.mu.Unlock()
@@ -157,6 +159,23 @@
 	return s
 }
 
+// turnAway closes the session of a newcomer for which there is no room. If its req has come, it is told
+// to come again, and what it sent is taken from the socket, as a close over that would be a reset.
+func (s *session) turnAway(came bool) {
+	if came {
+		var rest [4 << 10]byte
+		s.raw.Control(func(fd uintptr) {
+			for n := 1; n > 0; {
+				n, _ = syscall.Read(int(fd), rest[:])
+			}
+		})
+		s.Conn.SetWriteDeadline(time.Now().Add(writeWithin))
+		s.Conn.Write(s.all.full)
+	}
+	s.Conn.Close()
+	s.all.onFull(came)
+}
+
 // bound is how many sessions may be open now. a.mu is held.
 func (a *sessions) bound() int { return max(int(float64(a.most)*a.part), 1) }
 
--- a/internal/front/sessions_test.go
+++ b/internal/front/sessions_test.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,7 +77,7 @@
 }
 
 // The session that has been idle for longest is the first to go, and one with
-// a req open goes for nobody: then the newcomer is turned away.
+// a req open goes for nobody: then the newcomer is turned away, and told so if its req has come.
 func TestOpenReqsAreSpared(t *testing.T) {
 	r, past := bounded(t, 3)
 	busy, older, newer := r.session(t), r.session(t), r.session(t)
@@ -99,6 +101,31 @@
 		}
 	}
 	r.session(t).ended()
+	if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Unread: true}) {
+		t.Errorf("posted %+v", ev)
+	}
+	l := r.Front.sessions.Load()
+	near, far := pair(t)
+	late := &client{t, far, bufio.NewReader(far)}
+	late.send(good)
+	for p := make([]byte, 1); ; time.Sleep(time.Millisecond) { // until it has come
+		raw, _ := near.SyscallConn()
+		n := 0
+		raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+		if n > 0 {
+			break
+		}
+	}
+	if l.admit(near, silent) != nil {
+		t.Error("taken in beyond the bound")
+	}
+	if resp, _ := late.answer(); resp.StatusCode != 429 || resp.Header.Get("Retry-After") != "0.500" || !resp.Close {
+		t.Errorf("%+v", resp)
+	}
+	late.ended()
+	if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Full: true}) {
+		t.Errorf("posted %+v", ev)
+	}
 	r.Answer(reducer.Answer{Req: id, Kind: reducer.Refused})
 	if resp, _ := busy.answer(); resp.StatusCode != 429 {
 		t.Errorf("%d", resp.StatusCode)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -263,6 +263,17 @@
 // Log tells whether a line with a text was logged.
 func (p *Process) Log(text string) bool { return strings.Contains(p.log.String(), text) }
 
+// Last gives the last line with a text that was logged.
+func (p *Process) Last(text string) string {
+	list := strings.Split(p.log.String(), "\n")
+	for i := len(list) - 1; i >= 0; i-- {
+		if strings.Contains(list[i], text) {
+			return list[i]
+		}
+	}
+	return ""
+}
+
 // Healthy asks the console whether the process takes clients.
 func (p *Process) Healthy() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/reducer/counters.go
+++ b/internal/reducer/counters.go
@@ -27,6 +27,7 @@
 	Malformed    ByCause `json:"malformed"`     // what was no req, turned away with 4xx
 	ClosedUnread uint64  `json:"closed_unread"` // client sessions closed with no req read whole
 	ClosedIdle   uint64  `json:"closed_idle"`   // client sessions closed between reqs, for room
+	Full         uint64  `json:"full"`          // newcomers for whose session there was no room, told to come again
 	Fetched      uint64  `json:"fetched"`       // fetches started
 	Retries      uint64  `json:"retries"`       // fetches started after a req's first
 	NotSent      uint64  `json:"not_sent"`      // fetches the Gateway asked for that came too late
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -56,8 +56,8 @@
 
 // SessionClosed tells of a client session that the front closed by itself, for
 // want of a use or of room. Unread means that no req had come whole on it, or
-// half a one.
-type SessionClosed struct{ Unread bool }
+// half a one; Full that it was a newcomer's, which was told to come again.
+type SessionClosed struct{ Unread, Full bool }
 
 // FetchEnded brings the outcome of a fetch. Reply counts with Done only.
 type FetchEnded struct {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -187,9 +187,12 @@
 	case Malformed:
 		r.count.Malformed[ev.Cause]++
 	case *SessionClosed:
-		if ev.Unread {
+		switch {
+		case ev.Full:
+			r.count.Full++
+		case ev.Unread:
 			r.count.ClosedUnread++
-		} else {
+		default:
 			r.count.ClosedIdle++
 		}
 	case *FetchEnded:
