See a client leave behind whatever it sent

Observed by reading, then forced in tests: net/http's server looks one byte beyond an open req to see its client leave; with bytes behind it the leave was not seen, and each req that had come with the first was sent on in turn, long after (front.go, sessions.go). Change: a session reads up to 16 KiB ahead beside an open req, so the end is found behind it; a req whose client had left by the time it was read is told so in Arrived, counted as left, answered, and nothing else.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -183,6 +184,65 @@
 	s.ended() // as it gets between reqs
 }
 
+// A client that sends many reqs at once and goes has gone, whatever it sent behind the first: that one is
+// withdrawn at once, and the others come as those of a client that left, or not at all.
+func TestSendsMuchAndGoes(t *testing.T) {
+	for name, n := range map[string]int{"in the server's buffer": 3, "read ahead": 30} {
+		t.Run(name, func(t *testing.T) {
+			r := serve(t)
+			s := r.session(t)
+			all := ""
+			for i := range n {
+				all += strings.Replace(good, "9b1f", fmt.Sprintf("%04x", i), 1)
+			}
+			s.send(all)
+			first := (<-r.events).(*reducer.Arrived)
+			s.conn.Close()
+			if left, ok := (<-r.events).(*reducer.Left); !ok || left.Req != first.ID {
+				t.Fatalf("posted %+v", left)
+			}
+			r.Answer(reducer.Answer{Req: first.ID, Kind: reducer.Refused})
+			for r.Sessions() > 0 {
+				select {
+				case ev := <-r.events:
+					next, ok := ev.(*reducer.Arrived)
+					if !ok || !next.Left {
+						t.Fatalf("posted %+v", ev)
+					}
+					r.Answer(reducer.Answer{Req: next.ID, Kind: reducer.Refused})
+				case <-time.After(time.Millisecond):
+				}
+			}
+		})
+	}
+}
+
+// Beyond a bound nothing is read ahead: a client that floods costs no memory, and its reqs are answered in turn.
+func TestFloodIsNotReadAhead(t *testing.T) {
+	r := serve(t)
+	s := r.session(t)
+	const n = 400
+	go func() {
+		for i := range n {
+			s.send(strings.Replace(good, "9b1f", fmt.Sprintf("%04x", i), 1))
+		}
+	}()
+	for i := range n {
+		ev := (<-r.events).(*reducer.Arrived)
+		if want := fmt.Sprintf("%04x03aa5c7e2d41", i); ev.CallID != want {
+			t.Fatalf("%s came where %s is due", ev.CallID, want)
+		}
+		l := r.Front.sessions.Load()
+		l.mu.Lock()
+		if got := len(l.lists[busy].Front().Value.(*session).ahead); got > aheadMost+4<<10 {
+			t.Errorf("%d bytes read ahead", got)
+		}
+		l.mu.Unlock()
+		r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Refused})
+		s.answer()
+	}
+}
+
 // A limiter that stood still finds the time for a read over and what was to be read in the socket. It
 // reads that.
 func TestTimeIsOverOnlyOverNothing(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -279,12 +279,16 @@
 	if !sessionOf(r).serves() {
 		panic(http.ErrAbortHandler)
 	}
+	ev.Left = r.Context().Err() != nil // it came with others, and its client has gone
 	answer := make(chan reducer.Answer, 1)
 	f.mu.Lock()
 	f.waiting[ev.ID] = answer
 	f.mu.Unlock()
 	f.opt.Post(ev)
 	left := r.Context().Done()
+	if ev.Left {
+		left = nil
+	}
 	for {
 		select {
 		case a := <-answer:
--- a/internal/front/model_test.go
+++ b/internal/front/model_test.go
@@ -161,10 +161,14 @@
 			},
 			"pipeline": func(t *rapid.T) {
 				m := some(t, func(m *member) bool { return !m.shut && !m.gone && m.half == "" })
-				a, first := o.whole()
-				b, second := o.whole()
-				m.reqs = append(m.reqs, a, b)
-				m.send(first + second)
+				all := ""
+				for range rapid.IntRange(2, 4).Draw(t, "reqs") {
+					call, text := o.whole()
+					size := rapid.SampledFrom([]int{5, 3000, 9000}).Draw(t, "size")
+					m.reqs = append(m.reqs, call)
+					all += strings.Replace(text, "Length: 5\n\n12345", fmt.Sprintf("Length: %d\n\n%s", size, strings.Repeat("x", size)), 1)
+				}
+				m.send(all)
 			},
 			"half": func(t *rapid.T) {
 				m := some(t, func(m *member) bool { return !m.shut && !m.gone && m.half == "" })
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -23,6 +23,7 @@
 	silentFor   = 100 * time.Millisecond // a usual client sends its req with the connection
 	halfFor     = time.Second            // and sends it in one piece
 	writeWithin = 10 * time.Second       // for what is written to be taken
+	aheadMost   = 16 << 10               // bytes that are read beside an open req
 	lastAccept  = 20 * time.Millisecond  // for who has connected already to be taken in, at the end
 )
 
@@ -61,6 +62,7 @@
 	raw    syscall.RawConn // nil where there is no socket
 	begun  time.Time       // when the req that is coming in began to
 	came   bool            // a byte of it was read since the one before was whole
+	ahead  []byte          // what was read beside an open req, and the server has not taken yet
 	parked bool            // the server waits at the socket for more of a req, so none is whole
 }
 
@@ -88,6 +90,7 @@
 	closer sync.Once
 	part   float64       // of most, while another process has the rest
 	paused chan struct{} // closed when accepting goes on; nil while it does
+	spare  [4 << 10]byte // to read ahead into
 	ends   bool          // a session that gets between reqs is closed
 	shut   bool          // no more of any req is read
 
@@ -435,7 +438,10 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	s.asks(len(p) > 1) // net/http's server reads one byte beside a req that is whole
+	more := len(p) > 1 // net/http's server reads one byte beside a req that is whole, to see its client leave
+	if n = s.asks(p, more); n > 0 {
+		return n, nil
+	}
 	if s.leaves() {
 		return 0, io.EOF // closed here, open there
 	}
@@ -473,36 +479,59 @@
 	return n, nil
 }
 
-// asks tells that the server wants more of a req. If nothing of one came since the one before was
-// over, that one was all there was in its buffer, and the session is between reqs.
-func (s *session) asks(more bool) {
+// asks tells that the server wants more of a req, and gives it what was read ahead. If nothing of one
+// came since the one before was over, that one was all there was in its buffer, and the session is between
+// reqs.
+func (s *session) asks(p []byte, more bool) (n int) {
 	s.all.mu.Lock()
 	defer s.all.mu.Unlock()
-	if more && s.state == reading && !s.came {
+	switch {
+	case !more || s.state == closed:
+	case len(s.ahead) > 0:
+		s.came = true
+		if n = copy(p, s.ahead); n == len(s.ahead) {
+			s.ahead = nil
+		} else {
+			s.ahead = s.ahead[n:]
+		}
+	case s.state == reading && !s.came:
 		s.move(idle)
 	}
+	return n
 }
 
-// receive reads what is in the socket.
+// receive reads what is in the socket. Beside an open req it reads ahead, so that bytes behind that do not
+// hide that the client has left.
 func (s *session) receive(fd uintptr, p []byte) (n int, err error) {
 	s.all.mu.Lock()
 	defer s.all.mu.Unlock()
 	s.parked = false
-	if s.all.ends && s.state == idle && !s.waits() || s.all.shut && len(p) > 1 {
+	more := len(p) > 1
+	if s.all.ends && s.state == idle && !s.waits() || s.all.shut && more {
 		s.move(closed)
 	}
 	if s.state == closed {
 		return 0, net.ErrClosed
 	}
 	for {
-		if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
-			break
+		into := p
+		if !more {
+			into = s.all.spare[:]
+		}
+		if n, err = syscall.Read(int(fd), into); err == syscall.EINTR {
+			continue
+		}
+		n = max(n, 0)
+		s.took(n)
+		if more || n == 0 {
+			s.parked = more && err == syscall.EAGAIN
+			return n, err
+		}
+		if s.ahead = append(s.ahead, into[:n]...); len(s.ahead) >= aheadMost {
+			p[0], s.ahead = s.ahead[0], s.ahead[1:]
+			return 1, nil
 		}
 	}
-	s.parked = err == syscall.EAGAIN && len(p) > 1
-	n = max(n, 0)
-	s.took(n)
-	return n, err
 }
 
 // took notes bytes that were read; all.mu is held.
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -27,6 +27,7 @@
 	At      time.Duration // when its last byte came
 	CallID  string        // the client's own name for it; no two that are open share one
 	Content Content
+	Left    bool // its client had left by then
 }
 
 // Left tells that the client of a req has gone away.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -181,6 +181,12 @@
 	case *Arrived:
 		r.last = max(r.last, ev.ID)
 		r.traffic()
+		if ev.Left { // nothing is done for it
+			r.count.Received++
+			r.count.Left++
+			r.do(Answer{Req: ev.ID, Kind: Refused, RetryAfter: r.set.MaxRetryAfter})
+			break
+		}
 		r.arrived(ev, false)
 	case *Left:
 		r.left(ev.Req)
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -382,3 +382,17 @@
 		t.Errorf("counters %+v", c)
 	}
 }
+
+// A req whose client had left before it was read is answered, and nothing else is done for it.
+func TestLeftBeforeItWasRead(t *testing.T) {
+	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
+	ev := read(1, time.Hour, time.Second)
+	ev.Left = true
+	effects := r.Step(time.Hour, ev)
+	if got := only[Answer](effects); len(got) != 1 || got[0].Kind != Refused || len(only[StartFetch](effects)) > 0 {
+		t.Errorf("%v", effects)
+	}
+	if c := r.Counters(); c.Received != 1 || c.Left != 1 || c.OpenReqs != 0 || len(r.reqs) > 0 {
+		t.Errorf("counters %+v", c)
+	}
+}
