--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -445,3 +446,58 @@
 	s.conn.Close()
 	<-gone
 }
+
+// Bad clients of every kind hold no more than the bound on sessions, cost usual clients nothing, and once
+// they have gone nothing is left of them.
+func TestBadClientsHoldNothing(t *testing.T) {
+	r, past := bounded(t, 16)
+	go func() {
+		for ev := range r.events {
+			if ev, ok := ev.(*reducer.Arrived); ok {
+				r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Refused})
+			}
+		}
+	}()
+	before := runtime.NumGoroutine()
+	many := strings.Repeat(good, 200)
+	var all []net.Conn
+	for i := range 150 {
+		s := r.session(t)
+		all = append(all, s.conn)
+		switch i % 6 {
+		case 0: // says nothing
+		case 1:
+			s.send(goodHead[:i])
+		case 2:
+			s.send("\x00\xff" + strings.Repeat("x", 5000))
+		case 3:
+			s.send(goodHead + "Content-Length: 60000\n\n123")
+		case 4:
+			go s.send(many) // and reads nothing
+		case 5:
+			s.send(many[:20000])
+			s.conn.(*net.TCPConn).SetLinger(0)
+			s.conn.Close()
+		}
+		past.Add(int64(halfFor) / 4)
+		if n := r.Sessions(); n > 16 {
+			t.Fatalf("%d sessions", n)
+		}
+		if i%10 == 9 {
+			usual := r.session(t)
+			usual.send(good)
+			if resp, _ := usual.answer(); resp.StatusCode != 429 {
+				t.Errorf("a usual client: %d", resp.StatusCode)
+			}
+			usual.conn.Close()
+		}
+	}
+	for _, c := range all {
+		c.Close()
+	}
+	for end := time.Now().Add(20 * time.Second); r.Sessions() > 0 || runtime.NumGoroutine() > before; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d sessions left, %d goroutines where %d were", r.Sessions(), runtime.NumGoroutine(), before)
+		}
+	}
+}
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -194,6 +194,32 @@
 	}
 }
 
+// A program that is told to end before it was ready never is, answers what comes all the same, and is told
+// so once: a second time changes nothing.
+func TestEndsOnce(t *testing.T) {
+	r := start(t, entry("b1", "h:1", lemongate.Live, 0))
+	r.Step(time.Hour, Terminated{})
+	if got := r.Step(time.Hour+time.Millisecond, &Listed{Kind: lemongate.ListFull, Entries: []Entry{entry("b1", "h:1", lemongate.Live, 0)}}); len(only[Ready](got)) > 0 || r.Phase() != Draining {
+		t.Errorf("%v in phase %v", got, r.Phase())
+	}
+	sent := only[StartFetch](r.Step(time.Hour+2*time.Millisecond, read(1, time.Hour+2*time.Millisecond, time.Second)))
+	if len(sent) != 1 {
+		t.Fatalf("%v", sent)
+	}
+	for _, at := range []time.Duration{time.Hour + 3*time.Millisecond, time.Hour + acceptAfter - time.Millisecond} {
+		if got := r.Step(at, Terminated{}); len(only[EndSessions](got))+len(only[CloseFront](got)) > 0 || r.Phase() != Draining {
+			t.Errorf("told again: %v in phase %v", got, r.Phase())
+		}
+	}
+	r.Step(time.Hour+acceptAfter, Ticked{})
+	if got := r.Step(time.Hour+acceptAfter+time.Millisecond, Terminated{}); len(only[CloseFront](got)) > 0 || r.Phase() != Closing {
+		t.Errorf("told again: %v in phase %v", got, r.Phase())
+	}
+	if got := only[Answer](r.Step(time.Hour+acceptAfter+2*time.Millisecond, &FetchEnded{Fetch: sent[0].Fetch, Result: lemongate.Done})); len(got) != 1 || got[0].Kind != Served {
+		t.Errorf("answered %v", got)
+	}
+}
+
 // A datagram may hold anything and come from anyone.
 func TestBadDatagrams(t *testing.T) {
 	r := start(t)
