Give a newcomer for whom there is no room the time to send its req, and tell it then

A probe at the turning away showed the cause each time: all 16 places were held by sessions whose req was open or unread, and of the newcomer nothing had come yet when it was accepted, microseconds after its connect. sessions.admit decided over the req before it could be there.

The place is now refused at the door, and the answer waits for the req: 0.1 s, as long as a silent session is safe from making room, at most 16 at once, the longest silent one gives way. One path is left where there were two (a req that had come, one that had not).

--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -25,6 +25,7 @@
 	writeWithin = 10 * time.Second       // for what is written to be taken
 	aheadMost   = 16 << 10               // bytes that are read beside an open req
 	lastAccept  = 20 * time.Millisecond  // for who has connected already to be taken in, at the end
+	doorMost    = 16                     // newcomers beyond the bound that wait to be told so
 )
 
 // crowdedPart is the part of the bound on client sessions above which those
@@ -41,12 +42,13 @@
 	busy                        // a req is being decided or answered
 	idle                        // between reqs: the next one is waited for
 	ending                      // answered for the last time; lingers so that the client can read it
+	turned                      // a newcomer for which there is no room; it is told so once its req comes
 	closed
 	nStates
 )
 
 func (s sessionState) String() string {
-	return [...]string{"silent", "reading", "busy", "idle", "ending", "closed"}[s]
+	return [...]string{"silent", "reading", "busy", "idle", "ending", "turned", "closed"}[s]
 }
 
 // A session is a client session: one connection, and what it is doing.
@@ -82,6 +84,7 @@
 	onClose func(was sessionState) // a session was closed from this side, with no req open
 	onFull  func(told bool)        // a newcomer was turned away, and told so
 	full    []byte                 // how it is told
+	patient time.Duration          // how long its req is waited for
 
 	mu     sync.Mutex
 	lists  [nStates]list.List // by state, the longest in it first
@@ -99,7 +102,7 @@
 }
 
 func newSessions(l net.Listener, most int, now func() time.Time) *sessions {
-	return &sessions{Listener: l, most: most, now: now, stop: make(chan struct{}), part: 1}
+	return &sessions{Listener: l, most: most, now: now, patient: silentFor, stop: make(chan struct{}), part: 1}
 }
 
 // Accept takes the next client in, and closes a session for it if need be. After Close it still
@@ -141,42 +144,55 @@
 func (a *sessions) admit(c net.Conn, state sessionState) *session {
 	a.mu.Lock()
 	var out closing
-	full := a.most > 0 && a.open >= a.bound()
+	full := a.most > 0 && a.open-a.lists[turned].Len() >= a.bound()
 	if full {
-		out = a.victim()
+		if out = a.victim(); out.session == nil { // all have reqs open
+			state = turned
+		}
+	}
+	if state == turned && a.lists[turned].Len() >= doorMost {
+		if out = a.oldest(turned, 0); out.session == nil { // the reqs of all have come, and they are being told
+			a.mu.Unlock()
+			c.Close()
+			a.onFull(false)
+			return nil
+		}
 	}
 	s := &session{Conn: c, all: a, state: state, since: a.now(), begun: a.now()}
 	if c, ok := c.(syscall.Conn); ok {
 		s.raw, _ = c.SyscallConn()
 	}
-	if full && out.session == nil { // all have reqs open
-		came := s.waits()
-		a.mu.Unlock()
-		s.turnAway(came)
-		return nil
-	}
 	s.place = a.lists[state].PushBack(s)
 	a.open++
 	a.mu.Unlock()
 	out.finish()
+	if state == turned {
+		go s.turnAway()
+		return nil
+	}
 	return s
 }
 
-// turnAway closes the session of a newcomer for which there is no room. If its req has come, it is told
-// to come again, and what it sent is taken from the socket, as a close over that would be a reset.
-func (s *session) turnAway(came bool) {
-	if came {
-		var rest [4 << 10]byte
+// turnAway closes the session of a newcomer for which there is no room. Once its req comes, it is told to
+// come again, and what it sent is taken from the socket, as a close over that would be a reset.
+func (s *session) turnAway() {
+	var rest [4 << 10]byte
+	s.Conn.SetReadDeadline(time.Now().Add(s.all.patient))
+	n, _ := s.Conn.Read(rest[:])
+	told := n > 0
+	if s.raw != nil { // also what came while the limiter stood still
 		s.raw.Control(func(fd uintptr) {
-			for n := 1; n > 0; {
+			for n = 1; n > 0; told = told || n > 0 {
 				n, _ = syscall.Read(int(fd), rest[:])
 			}
 		})
-		s.Conn.SetWriteDeadline(time.Now().Add(writeWithin))
-		s.Conn.Write(s.all.full)
 	}
-	s.Conn.Close()
-	s.all.onFull(came)
+	if told {
+		_, err := s.Write(s.all.full)
+		told = err == nil // else another newcomer took its place
+	}
+	s.Close()
+	s.all.onFull(told)
 }
 
 // bound is how many sessions may be open now. a.mu is held.
@@ -288,8 +304,11 @@
 
 // finish closes the socket, if there is a session, and tells of it.
 func (c closing) finish() {
-	if c.session != nil {
-		c.session.Conn.Close()
+	if c.session == nil {
+		return
+	}
+	c.session.Conn.Close()
+	if c.was != turned { // turnAway tells
 		c.session.all.onClose(c.was)
 	}
 }
