Tell a newcomer whose req has come at once, past those at the door

A limiter that stood still accepts a crowd faster than the goroutines at the door run, so these 16 places were held by newcomers that were about to be told, and the rest were closed. A req that has come needs no wait and no place: it is told by the loop that accepts, as before. TestCrowdIsTold fails without.

--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -150,7 +150,12 @@
 			state = turned
 		}
 	}
-	if state == turned && a.lists[turned].Len() >= doorMost {
+	s := &session{Conn: c, all: a, state: state, since: a.now(), begun: a.now()}
+	if c, ok := c.(syscall.Conn); ok {
+		s.raw, _ = c.SyscallConn()
+	}
+	came := state == turned && s.waits()
+	if state == turned && !came && a.lists[turned].Len() >= doorMost {
 		if out = a.oldest(turned, 0); out.session == nil { // the reqs of all have come, and they are being told
 			a.mu.Unlock()
 			c.Close()
@@ -158,19 +163,19 @@
 			return nil
 		}
 	}
-	s := &session{Conn: c, all: a, state: state, since: a.now(), begun: a.now()}
-	if c, ok := c.(syscall.Conn); ok {
-		s.raw, _ = c.SyscallConn()
-	}
 	s.place = a.lists[state].PushBack(s)
 	a.open++
 	a.mu.Unlock()
 	out.finish()
-	if state == turned {
+	switch {
+	case came: // no wait, and so no place at the door
+		s.turnAway()
+	case state == turned:
 		go s.turnAway()
-		return nil
+	default:
+		return s
 	}
-	return s
+	return nil
 }
 
 // turnAway closes the session of a newcomer for which there is no room. Once its req comes, it is told to
--- a/internal/front/sessions_test.go
+++ b/internal/front/sessions_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"strings"
@@ -203,3 +204,40 @@
 	r.Answer(reducer.Answer{Req: ev.ID, Kind: reducer.Refused})
 	s.answer()
 }
+
+// A limiter that stood still finds more newcomers at once than may wait at the door. All whose reqs have
+// come are told, in turn and past those that have sent nothing.
+func TestCrowdIsTold(t *testing.T) {
+	r, _ := bounded(t, 1)
+	s := r.session(t)
+	s.send(good)
+	id := (<-r.events).(*reducer.Arrived).ID
+	l := r.Front.sessions.Load()
+	l.mu.Lock()
+	l.patient = time.Minute
+	l.mu.Unlock()
+	for range doorMost {
+		r.session(t)
+	}
+	r.state(turned, doorMost)
+	for range 3 * doorMost {
+		near, far := pair(t)
+		late := &client{t, far, bufio.NewReader(far)}
+		late.send(good)
+		raw, _ := near.SyscallConn()
+		for there := (&session{raw: raw}); !there.waits(); time.Sleep(time.Millisecond) {
+		}
+		if l.admit(near, silent) != nil {
+			t.Error("taken in beyond the bound")
+		}
+		if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Full: true}) {
+			t.Errorf("posted %+v", ev)
+		}
+		if resp, _ := late.answer(); resp.StatusCode != 429 || !resp.Close {
+			t.Errorf("%+v", resp)
+		}
+	}
+	r.state(turned, doorMost)
+	r.Answer(reducer.Answer{Req: id, Kind: reducer.Refused})
+	s.answer()
+}
