Count a req without a body as written once its head may be

A req without a body was counted as written by http.Transport's word alone, which comes after the head is on the socket: an answer that breaks off in between came first. Excluded: the connection's own count of bytes (any and not broke) and the first-byte guard. A POST without a body goes the same way, and one that may not be repeated would have gone again. The word of a try that is over could also come during the next, on the same field.

Whether all may be written now belongs to each try's body, set before its first byte where there is none; the transport's word decides nothing. TestCutOffBehindTheLastByte holds the writer back behind the last byte for 0, 10 and 48 Ki bytes; 0 fails without.

--- a/internal/fetch/crossing_test.go
+++ b/internal/fetch/crossing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -134,42 +135,48 @@
 	}
 }
 
-// A large body's last byte goes to the socket before the transport says that the req was written. An
-// answer that breaks off in between is no proof that the req never ran.
+// A req's last byte goes to the socket before the transport says that it was written. An answer that
+// breaks off in between is no proof that the req never ran, whatever its length.
 func TestCutOffBehindTheLastByte(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	const size = 48 << 10
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			t.Errorf("no req: %v", err)
-			return
-		}
-		io.Copy(io.Discard, r.Body)
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ncut off")
-	}()
-	p := pool(l.Addr().String())
-	defer p.Close()
-	sent, ended := 0, make(chan bool)
-	p.hooks.wrote = func(n int) {
-		if sent += n; sent > size { // with the head that is all
-			<-ended // so the transport hears of it only after the fetch has ended
-		}
-	}
-	p.start(&Req{Method: "POST", URI: "/x", Host: "x", CallID: "1", Body: []byte(strings.Repeat("x", size))})
-	got := (<-p.events).(*reducer.FetchEnded)
-	close(ended)
-	if got.Result != lemongate.Broken {
-		t.Errorf("result %v of a req that came whole, want one that may have run", got.Result)
+	for _, size := range []int{0, 10, 48 << 10} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					t.Errorf("no req: %v", err)
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ncut off")
+			}()
+			p := pool(l.Addr().String())
+			defer p.Close()
+			head, sent, ended := 0, 0, make(chan bool)
+			p.hooks.wrote = func(n int) {
+				if head == 0 {
+					head = n // which goes alone
+				}
+				if sent += n; sent == head+size {
+					<-ended // so the transport hears of it only after the fetch has ended
+				}
+			}
+			p.start(&Req{Method: "POST", URI: "/x", Host: "x", CallID: "1", Body: []byte(strings.Repeat("x", size))})
+			got := (<-p.events).(*reducer.FetchEnded)
+			close(ended)
+			if got.Result != lemongate.Broken || !got.Spoilt {
+				t.Errorf("result %v, spoilt %v of a req that came whole, want one that may have run", got.Result, got.Spoilt)
+			}
+		})
 	}
 }
 
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -94,7 +94,6 @@
 	backend *backend
 	cancel  context.CancelFunc
 	now     func() time.Duration
-	wrote   atomic.Bool   // the last byte of the req is on its way to the socket, or beyond
 	late    atomic.Bool   // the time for its first byte was over
 	unwant  atomic.Bool   // it may not begin any longer
 	heard   atomic.Bool   // the first byte of an answer came
@@ -163,18 +162,25 @@
 	f.cancel()
 }
 
-// A body is a req's, as http.Transport reads it. Large ones go to the socket past the transport's
-// buffer, so their last byte may be there before WroteRequest tells so: what was read to its end
-// counts as written, unless the write fails.
+// A body is a req's in one try, as http.Transport reads it. Once nothing of it is left, the req's last
+// byte may be on the socket, unless a write failed. The transport tells so later, when its answer may have
+// come; and of a try that is over it may tell during the next.
 type body struct {
 	bytes.Reader
-	f *fetch
+	spent atomic.Bool
+}
+
+func newBody(content []byte) *body {
+	b := new(body)
+	b.Reset(content)
+	b.spent.Store(len(content) == 0) // the head is all there is
+	return b
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if b.Len() == 0 {
-		b.f.wrote.Store(true)
+		b.spent.Store(true)
 	}
 	return n, err
 }
@@ -423,18 +429,19 @@
 			return nil
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if f.wrote.Store(info.Err == nil); info.Err == nil {
+			if info.Err == nil {
 				p.wrote.Add(1)
 			}
 		},
 	})
 	in := e.Content.(*Req)
-	resp, err := f.backend.transport.RoundTrip(request(ctx, f, in, e))
+	content := newBody(in.Body)
+	resp, err := f.backend.transport.RoundTrip(request(ctx, content, in, e))
 	if errors.Is(err, errTooMany) || errors.Is(err, errDropped) || f.late.Load() {
 		return lemongate.NotSent, nil, nil
 	}
 	if err != nil {
-		return p.broken(f, err), nil, nil
+		return broken(f, content, err), nil, nil
 	}
 	// What came before a byte was written answers another fetch. The connection is closed by then,
 	// but the transport may have the answer in its buffer, and hand it on before it sees that.
@@ -446,7 +453,7 @@
 		}
 	}
 	if !ends(resp) { // before its Body is closed, which would read on
-		result := p.broken(f, errSpoilt)
+		result := broken(f, content, errSpoilt)
 		resp.Body.Close()
 		return result, nil, nil
 	}
@@ -455,7 +462,7 @@
 	body, err := readBody(resp)
 	switch {
 	case err != nil:
-		return p.broken(f, err), report, nil
+		return broken(f, content, err), report, nil
 	case resp.StatusCode == http.StatusOK:
 		return lemongate.Done, report, &Reply{Type: resp.Header.Get("Content-Type"), Body: body}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
@@ -475,7 +482,7 @@
 // request words a fetch. Its Body is never nil and has no GetBody: otherwise
 // http.Transport would send a GET, or anything with Idempotency-Key, again by
 // itself when a kept connection turns out dead.
-func request(ctx context.Context, f *fetch, in *Req, e reducer.StartFetch) *http.Request {
+func request(ctx context.Context, content *body, in *Req, e reducer.StartFetch) *http.Request {
 	h := http.Header{
 		"X-Call-Id":  {in.CallID},
 		"X-Budget":   {strconv.FormatInt(max(e.Wait.Milliseconds(), 1), 10) + "m"},
@@ -490,8 +497,6 @@
 	if in.Type != "" {
 		h["Content-Type"] = []string{in.Type}
 	}
-	content := &body{f: f}
-	content.Reset(in.Body)
 	r := &http.Request{
 		Method: in.Method, Host: in.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:           &url.URL{Scheme: "http", Host: e.Addr, Opaque: in.URI}, // Opaque goes out as it is
@@ -510,7 +515,7 @@
 // broken tells what a fetch without a whole answer proves: it never ran if its
 // last byte was not written, and may have run otherwise. A connection that is late or
 // breaks says less of a backend than one that is refused.
-func (p *Pool) broken(f *fetch, err error) lemongate.Result {
+func broken(f *fetch, content *body, err error) lemongate.Result {
 	c := f.on()
 	if c == nil {
 		var late net.Error
@@ -520,7 +525,7 @@
 		return lemongate.Unreachable
 	}
 	c.giveUp(f) // nothing more of it may go out from here on
-	if _, all := c.carried(f); all && f.wrote.Load() {
+	if _, all := c.carried(f); all && content.spent.Load() {
 		return lemongate.Broken
 	}
 	return lemongate.Disconnected
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -363,14 +363,12 @@
 	c, _ := pair(t)
 	f := &fetch{}
 	f.take(c)
-	f.wrote.Store(true) // into the buffer, as http.Transport tells it
 	c.backend.dropped.Store(true)
 	go c.Read(make([]byte, 1))
 	if n, err := c.Write([]byte("GET")); n != 0 || !errors.Is(err, errDropped) {
 		t.Errorf("wrote %d bytes, %v", n, err)
 	}
-	p := pool("")
-	if got := p.broken(f, errDropped); got != lemongate.Disconnected {
+	if got := broken(f, newBody(nil), errDropped); got != lemongate.Disconnected {
 		t.Errorf("result %v", got)
 	}
 }
@@ -381,7 +379,6 @@
 	c, far := pair(t)
 	f := &fetch{}
 	f.take(c)
-	f.wrote.Store(true)
 	go c.Read(make([]byte, 1))
 	c.Write([]byte("G"))
 	far.SetLinger(0) // a reset
@@ -391,7 +388,7 @@
 			break
 		}
 	}
-	if got := pool("").broken(f, io.EOF); got != lemongate.Disconnected {
+	if got := broken(f, newBody(nil), io.EOF); got != lemongate.Disconnected {
 		t.Errorf("result %v", got)
 	}
 }
