--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -260,7 +260,8 @@
 // Signal sends a signal.
 func (p *Process) Signal(s syscall.Signal) { p.Cmd.Process.Signal(s) }
 
-// Log tells whether a line with a text was logged.
+// Log tells whether a line with a text was logged. The log comes through a pipe: it may be behind what its process is
+// known to have done, so a line that is due is waited for.
 func (p *Process) Log(text string) bool { return strings.Contains(p.log.String(), text) }
 
 // Last gives the last line with a text that was logged.
