--- a/cmd/lemongate/main.go
+++ b/cmd/lemongate/main.go
@@ -23,7 +23,7 @@
 
 // release is the version told by the version command; CHANGELOG.md says what
 // is in it.
-const release = "0.7.0"
+const release = "0.8.0"
 
 // memoryPart is the part of the memory limit that the Go heap is held to; the
 // rest is for stacks, the program itself and what the system keeps for it.
