--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -218,17 +218,16 @@
 	}
 }
 
-// Beyond a bound nothing is read ahead: a client that floods costs no memory, and its reqs are answered in turn,
-// however many of them are in the server's buffer.
+// Beyond a bound nothing is read ahead: a client that floods costs no memory, and its reqs are answered in turn.
 func TestFloodIsNotReadAhead(t *testing.T) {
 	r := serve(t)
 	s := r.session(t)
-	const n = 300
-	all := ""
-	for i := range n {
-		all += strings.Replace(good, "9b1f", fmt.Sprintf("%04x", i), 1)
-	}
-	s.send(all) // the system holds it
+	const n = 400
+	go func() {
+		for i := range n {
+			s.send(strings.Replace(good, "9b1f", fmt.Sprintf("%04x", i), 1))
+		}
+	}()
 	for i := range n {
 		ev := (<-r.events).(*reducer.Arrived)
 		if want := fmt.Sprintf("%04x03aa5c7e2d41", i); ev.CallID != want {
--- a/internal/front/sessions_test.go
+++ b/internal/front/sessions_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -99,6 +100,10 @@
 			t.Error("the newcomer was not taken in")
 		}
 	}
+	r.session(t).ended() // nothing comes of it in its time
+	if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Unread: true}) {
+		t.Errorf("posted %+v", ev)
+	}
 	l := r.Front.sessions.Load()
 	l.mu.Lock()
 	l.patient = time.Minute
@@ -115,13 +120,18 @@
 	if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Full: true}) {
 		t.Errorf("posted %+v", ev)
 	}
-	for i := range doorMost { // beyond these the longest there makes room
-		r.session(t)
+	var door []*client
+	for i := range doorMost + 1 { // beyond doorMost the longest there makes room
+		door = append(door, r.session(t))
 		r.state(turned, min(i+2, doorMost))
 	}
-	quiet.ended()
-	if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Unread: true}) {
-		t.Errorf("posted %+v", ev)
+	for _, s := range []*client{quiet, door[0]} {
+		s.ended()
+	}
+	for range 2 { // each is told of once
+		if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Unread: true}) {
+			t.Errorf("posted %+v", ev)
+		}
 	}
 	r.Answer(reducer.Answer{Req: id, Kind: reducer.Refused})
 	if resp, _ := busy.answer(); resp.StatusCode != 429 {
@@ -241,3 +251,39 @@
 	r.Answer(reducer.Answer{Req: id, Kind: reducer.Refused})
 	s.answer()
 }
+
+// crossed is a connection on which something happens behind each read.
+type crossed struct {
+	net.Conn
+	then func()
+}
+
+func (c *crossed) Read(p []byte) (int, error) {
+	defer c.then()
+	return c.Conn.Read(p)
+}
+
+// A newcomer that makes room for another as its req comes is not told, and does not count as told.
+func TestDisplacedAsItsReqComes(t *testing.T) {
+	r, _ := bounded(t, 1)
+	s := r.session(t)
+	s.send(good)
+	id := (<-r.events).(*reducer.Arrived).ID
+	l := r.Front.sessions.Load()
+	near, far := pair(t)
+	if l.admit(&crossed{near, func() {
+		l.mu.Lock()
+		l.oldest(turned, 0)
+		l.mu.Unlock()
+	}}, silent) != nil {
+		t.Error("taken in beyond the bound")
+	}
+	late := &client{t, far, bufio.NewReader(far)}
+	late.send(good)
+	late.ended()
+	if ev := <-r.events; *ev.(*reducer.SessionClosed) != (reducer.SessionClosed{Unread: true}) {
+		t.Errorf("posted %+v", ev)
+	}
+	r.Answer(reducer.Answer{Req: id, Kind: reducer.Refused})
+	s.answer()
+}
