Keep a lent slot out until it was returned or its attempts have ended

Callers: a customer on a plan with a limit of attempts in flight had more in flight than the plan allows wherever one limiter borrowed slots of another.

Cause: loans of slots ended by the clock as those of shares do, with the attempt in flight. Besides, a grant without a further slot ended the loans at hand (lending.slots, takeGrant); borrowed slots were lent on; a start had all of its slots at once; dropEpoch freed what an earlier epoch of the borrower used; the number of slots in a grant was cut to a byte.

The borrower starts attempts until the loan expires and keeps the slot until its attempt ends. The lender has it back by a report, or once the longest attempt has ended, which Config.LongestAttempt tells. A limiter that was restarted in service has no slots of its own for that time. Slots that nobody uses go back at once, by two messages. Stored forms have two more optional keys.

--- a/internal/admission/classes.go
+++ b/internal/admission/classes.go
@@ -66,6 +66,14 @@
 	idleLatency        float64 // recent minimum of meanLatency: what attempts take at idle backends
 }
 
+// longestDeadline is the longest that a client of any class waits.
+func (s *classSet) longestDeadline() (longest time.Duration) {
+	for _, c := range s.all {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // newClassSet returns the classes of the settings, with equal shares. A class without a latency objective
 // has its deadline as the objective, or else one second.
 func newClassSet(classes []Class) classSet {
--- a/internal/admission/customers.go
+++ b/internal/admission/customers.go
@@ -20,6 +20,9 @@
 	forgetObjectives = 20.0
 	// shutdownNotices is how many times each other limiter is notified of a shutdown: messages are lost.
 	shutdownNotices = 2
+	// attemptEndMargin is how long after its deadline an attempt may still be in flight, as a limiter may be held
+	// up between reading its clock and writing.
+	attemptEndMargin = 200 * time.Millisecond
 )
 
 // customerKey identifies a customer on a plan. Requests of a customer may name different plans, as after a
@@ -204,6 +207,7 @@
 func (ctl *Controller) quotaConfig() quota.Config {
 	config := quota.Config{
 		Self: ctl.settings.Self, Limiters: ctl.settings.Limiters, Gossips: ctl.gossips(), Epoch: ctl.settings.Epoch,
+		LongestAttempt: ctl.classes.longestDeadline() + attemptEndMargin,
 	}
 	for _, p := range ctl.settings.Plans {
 		config.Plans = append(config.Plans, quota.Plan{
--- a/internal/admission/gossip.go
+++ b/internal/admission/gossip.go
@@ -38,8 +38,6 @@
 	// urgentObjectives longest objectives messages with observations only then skip observationPauses.
 	urgentFailureChange = 0.25
 	urgentObjectives    = 0.3
-	// servingAgeStep is the unit in which limiters report how long they have been serving.
-	servingAgeStep = 250 * time.Millisecond
 )
 
 // peer is another limiter.
@@ -85,6 +83,7 @@
 		}
 	}
 	ctl.settleWaiting()
+	ctl.customers.ledger.ReturnUnusedSlots(ctl.now)
 	for _, o := range m.Observations {
 		ctl.mergeObservation(o)
 	}
@@ -196,7 +195,7 @@
 	return more
 }
 
-// servingAge is the time since the first request in units of servingAgeStep, or gossip.LeavingAge in a
+// servingAge is the time since the first request in units of gossip.ServingAgeStep, or gossip.LeavingAge in a
 // shutdown.
 func (ctl *Controller) servingAge() uint8 {
 	switch {
@@ -205,5 +204,5 @@
 	case ctl.customers.firstRequestAt == 0:
 		return 0
 	}
-	return uint8(min((ctl.now-ctl.customers.firstRequestAt)/servingAgeStep, gossip.LeavingAge-1))
+	return uint8(min((ctl.now-ctl.customers.firstRequestAt)/gossip.ServingAgeStep, gossip.LeavingAge-1))
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -8,9 +8,14 @@
 // allocation of every quota that it would have in this version too, and no part of it is moved.
 package gossip
 
+import "time"
+
 // LeavingAge is the ServingAge of a limiter that is shutting down and forwards no new requests.
 const LeavingAge = 255
 
+// ServingAgeStep is the unit of ServingAge.
+const ServingAgeStep = 250 * time.Millisecond
+
 // Maximum numbers of entries in a message, with which it fits into 256 bytes. Whoever builds a Message keeps
 // to them: Append does not check, and Parse rejects a message that is larger.
 const (
@@ -19,6 +24,9 @@
 	MaxObservations = 6
 )
 
+// MaxSlots is the most slots that a message can name.
+const MaxSlots = 255
+
 // UnitParts is the number of parts in a unit. Messages carry integer numbers of parts.
 const UnitParts = 16
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -53,6 +53,8 @@
 	lenders []int   // all other limiters of a small set, each of which may lend; none without gossip
 	links   []*link // one for each peer, in the order met
 
+	borrowsSlots bool // is in Ledger.slotBorrowers
+
 	// What the start left open, see StartState.
 	unresolvedUnits         float64 // that the quota has here if the tier is new
 	admittedWhileUnresolved bool    // one request was
--- a/internal/quota/config.go
+++ b/internal/quota/config.go
@@ -41,6 +41,8 @@
 // durations since an origin of the caller's choice.
 package quota
 
+import "time"
+
 // SmallSetSize is the size up to which each limiter of a set has an allocation of a customer's buckets. In
 // a larger set one owner has the complete quota: with more allocations each would hold less than a request
 // takes. A smaller set meets a customer too often for an owner to decide on each of its requests.
@@ -69,4 +71,7 @@
 	Gossips  bool   // messages to and from the other limiters are possible
 	Plans    []Plan // by index
 	Epoch    uint32 // grows with each start of this limiter
+	// LongestAttempt is the longest time from a reservation to the end of the attempt that it was made for. 0
+	// means that it is not known: a lent slot then comes back by a message of the borrower alone.
+	LongestAttempt time.Duration
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -49,6 +49,7 @@
 	sweepIndex    int                   // in accountOrder: where Sweep goes on
 	ownedAccounts []*Account            // those that this limiter is the owner of
 	hotCursor     int                   // in ownedAccounts: where the search for hot customers goes on
+	slotBorrowers []*Account            // with borrowed slots, or messages to send that give them back
 
 	peers      map[int]*peer // by number of the limiter
 	readyPeers []int         // peers to send something to, in the order found
@@ -193,6 +194,7 @@
 		delete(l.accounts, a.CustomerHash)
 	}
 	a.Forgotten = true
+	l.slotBorrowers = slices.DeleteFunc(l.slotBorrowers, isForgotten)
 	if a.ownerRank == 0 {
 		l.ownedAccounts = slices.DeleteFunc(l.ownedAccounts, isForgotten)
 	}
@@ -218,6 +220,9 @@
 		l.ownedAccounts = append(l.ownedAccounts, a)
 	}
 	for _, lk := range a.links {
+		if lk.borrowed.slots > 0 {
+			l.watchBorrowedSlots(a)
+		}
 		if lk.queued {
 			peer := l.peer(lk.peerID)
 			peer.queuedTransferRequests = append(peer.queuedTransferRequests, a)
--- a/internal/quota/lending.go
+++ b/internal/quota/lending.go
@@ -34,8 +34,8 @@
 	minDemandSum = 1e-6
 )
 
-// A loan is a share of the rate and burst of both buckets, and slots, that are used here until the loan
-// ends by itself.
+// A loan is a share of the rate and burst of both buckets, and slots. The share is used here until the loan
+// expires. A slot is kept beyond that while its attempt is in flight, see slots.go.
 type loan struct {
 	share     float64
 	slots     int
@@ -57,6 +57,17 @@
 	message                  gossip.Grant  // to be sent again when the request is repeated
 }
 
+// isEmpty reports whether a grant lent nothing, or nothing that is still out.
+func (lent grantRecord) isEmpty() bool { return lent.share == 0 && lent.slots == 0 }
+
+// loanEnded reports whether nothing of a loan to a peer is still out.
+func (a *Account) loanEnded(lent loan) bool {
+	if lent.expiresAt > a.advancedTo {
+		return false
+	}
+	return lent.slots == 0 || a.ledger.slotsReturnedBy(lent.expiresAt) <= a.advancedTo
+}
+
 // loanExpiring reports whether a borrowed share is about to end.
 func (a *Account) loanExpiring(now time.Duration) bool {
 	return slices.ContainsFunc(a.links, func(lk *link) bool { return lk.borrowed.expiresWithin(loanRenewalMargin, now) })
@@ -71,33 +82,30 @@
 	return share
 }
 
-// lentSlots is how many slots of this limiter the peer may be using.
-func (lk *link) lentSlots() int {
-	slots := 0
-	for i := range lk.lent {
-		slots = max(slots, lk.lent[i].slots)
-	}
-	return slots
-}
-
 // acknowledgeGrants records that a peer sent a new transfer request: the units of earlier grants have arrived
-// by now or never will, and of the slots lent to it the peer still uses slotsHeld.
+// by now or never will, and of the slots lent to it the peer still has slotsHeld.
 func (lk *link) acknowledgeGrants(slotsHeld int) {
 	for i := range lk.lent {
 		lk.lent[i].quotaUnits, lk.lent[i].ceilingUnits = 0, 0
 		lk.lent[i].slots = min(lk.lent[i].slots, slotsHeld)
 	}
-	lk.lent = slices.DeleteFunc(lk.lent, func(lent grantRecord) bool { return lent.share == 0 && lent.slots == 0 })
+	lk.lent = slices.DeleteFunc(lk.lent, grantRecord.isEmpty)
 }
 
-// expireLoans drops loans and grants that have ended.
+// expireLoans ends shares that have expired, and drops loans of which nothing is left.
 func (a *Account) expireLoans() {
 	for _, lk := range a.links {
 		if lk.borrowed.expiresAt <= a.advancedTo {
-			lk.borrowed = loan{}
+			lk.borrowed = loan{slots: lk.borrowed.slots} // which stay borrowed until they are returned
 		}
 		a.endLoanTransits(lk)
-		lk.lent = slices.DeleteFunc(lk.lent, func(lent grantRecord) bool { return lent.expiresAt <= a.advancedTo })
+		for i := range lk.lent {
+			if lk.lent[i].expiresAt <= a.advancedTo {
+				lk.lent[i].share = 0
+			}
+		}
+		lk.lent = slices.DeleteFunc(lk.lent, func(lent grantRecord) bool { return a.loanEnded(lent.loan) })
+		lk.lentBefore = slices.DeleteFunc(lk.lentBefore, a.loanEnded)
 	}
 }
 
@@ -186,7 +194,7 @@
 	if decision.earlierLoansEnded && a.plan().Ceiling.Rate > 0 && request.CeilingWanted > 0 {
 		record.ceilingUnits = decision.ceilingUnits(record.share)
 	}
-	record.slots = decision.slots()
+	record.slots = a.lendSlots(lk, int(request.SlotsWanted))
 	a.quotaLevel -= record.quotaUnits
 	a.ceilingLevel -= record.ceilingUnits
 	l.Counts.UnitsSent += record.quotaUnits
@@ -236,16 +244,6 @@
 	return roundToParts(min(spare, decodeUnits(g.request.CeilingWanted), max(headroom, 0)))
 }
 
-// slots is how many slots are lent to the peer, with those it has already.
-func (g *lending) slots() int {
-	a := g.account
-	free := a.slotLimit() - a.SlotsInUse
-	if a.plan().Slots <= 0 || g.request.SlotsWanted == 0 || free <= 0 {
-		return 0
-	}
-	return min(int(g.request.SlotsWanted), free) + g.link.lentSlots()
-}
-
 // buildGrant returns the message of a grant, with a report of the account here.
 func (a *Account) buildGrant(record grantRecord, now time.Duration) gossip.Grant {
 	return gossip.Grant{
--- a/internal/quota/link.go
+++ b/internal/quota/link.go
@@ -23,6 +23,7 @@
 	ceilingWanted         float64
 	slotsWanted           int
 	returnDue             bool          // slots or units are to be given back, by a message that requests nothing
+	slotReturns           int           // messages that give back slots still to be sent
 	nextTransferRequestAt time.Duration // no new request before
 	borrowed              loan          // what the last grant lent
 
@@ -30,6 +31,8 @@
 	lent      []grantRecord
 	lastGrant gossip.Grant // of an owner: the last one
 
+	lentBefore []loan // slots lent to earlier epochs of the peer
+
 	// What the peer reported.
 	//
 	//	            small set                        with an owner
@@ -53,7 +56,7 @@
 
 // inUse reports whether anything is lent, borrowed or requested by a link.
 func (lk *link) inUse(now time.Duration) bool {
-	return lk.borrowed.expiresAt > now || len(lk.lent) > 0 || lk.queued || lk.isPending(now)
+	return lk.borrowed.expiresAt > now || lk.borrowed.slots > 0 || len(lk.lent)+len(lk.lentBefore) > 0 || lk.queued || lk.isPending(now)
 }
 
 // isPending reports whether a grant for the last transfer request may still come.
@@ -95,5 +98,5 @@
 		lk.epoch = peer.epoch
 		return
 	}
-	*lk = link{peerID: lk.peerID, epoch: peer.epoch, queued: lk.queued}
+	*lk = link{peerID: lk.peerID, epoch: peer.epoch, queued: lk.queued, lentBefore: lk.slotsLentBefore(a.ledger)}
 }
--- a/internal/quota/liveness.go
+++ b/internal/quota/liveness.go
@@ -42,6 +42,7 @@
 	silentUntil    time.Duration // it did not reply: no transfer request is sent to it until then
 	unresponsive   bool          // no message came since: transfer requests are sent, but nothing waits for a grant
 	dead           bool          // it left, or is silent and its clients come here
+	servedBefore   bool          // it had requests before this limiter started
 
 	queuedTransferRequests []*Account // about which a message to the peer is due
 	queuedGrants           []gossip.Grant
@@ -74,7 +75,9 @@
 	if p.known && p.epoch != epoch {
 		p.queuedGrants = nil
 		p.epochSince = now
+		p.servedBefore = false
 	}
+	p.servedBefore = p.servedBefore || l.servedBefore(peerServingAge, now)
 	p.epoch, p.known, p.lastReceivedAt = epoch, true, now
 	p.silentUntil, p.unresponsive = 0, false
 	p.dead = peerServingAge == gossip.LeavingAge
@@ -90,13 +93,23 @@
 	return true
 }
 
-// Tick declares silent peers dead, if they are; it is to be called every fraction of a second.
+// servedBefore reports whether a peer whose message comes now had requests before this limiter started.
+func (l *Ledger) servedBefore(peerServingAge uint8, now time.Duration) bool {
+	if peerServingAge >= gossip.LeavingAge-1 { // the longest that a message can tell
+		return true
+	}
+	return time.Duration(peerServingAge)*gossip.ServingAgeStep > now-l.startedAt
+}
+
+// Tick declares silent peers dead, if they are, and returns borrowed slots that are not in use; it is to be
+// called every fraction of a second.
 //
 // The clients of a peer that died go to the other limiters, and the demand here rises by one part in as
 // many as are left; those of one that is cut off do not. Where half of the tier or more is silent, this
 // limiter counts as the one that is cut off. Where the expected rise would not stand out from the usual variation,
 // the peer counts as cut off, and its allocations of quotas stay with it.
 func (l *Ledger) Tick(now time.Duration) {
+	l.ReturnUnusedSlots(now)
 	silent := l.countSilent(now)
 	demand := l.totalDemand.Value(now, demandMemorySeconds)
 	if silent == 0 || l.ticks == 0 {
--- a/internal/quota/lostpeers.go
+++ b/internal/quota/lostpeers.go
@@ -35,7 +35,9 @@
 		a.totalLevel -= min(lk.demand, a.evenFraction*rate) * a.unreportedSeconds(lk)
 	}
 	a.recoverUnits(lk)
-	*lk = link{peerID: lk.peerID, epoch: peer.epoch, queued: lk.queued, restarted: lk.known}
+	*lk = link{
+		peerID: lk.peerID, epoch: peer.epoch, queued: lk.queued, restarted: lk.known, lentBefore: lk.slotsLentBefore(a.ledger),
+	}
 }
 
 // unreportedSeconds is the time that a peer may have served after its last report.
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -18,6 +18,7 @@
 type message struct {
 	from, to             int
 	epoch, receiverEpoch uint32
+	servingAge           uint8
 	seq                  uint32
 	requests             []gossip.TransferRequest
 	grants               []gossip.Grant
@@ -32,6 +33,7 @@
 	clockOffset time.Duration
 	sent        map[int]uint32    // sequence number of the last message to each
 	received    map[int][2]uint32 // epoch and sequence number of the last message of each
+	servesFrom  time.Duration     // true time of the start, if the tier has serving ages
 }
 
 // tier is the model: limiters, messages, and the true level of the customer's ceiling.
@@ -42,6 +44,9 @@
 	inFlight []message
 	now      time.Duration // true time
 	ceiling  float64
+
+	longestAttempt time.Duration
+	servingAges    bool // limiters report that they have served since their start
 }
 
 func (w *tier) clock(n *limiter) time.Duration {
@@ -52,7 +57,18 @@
 	n := w.limiters[i]
 	n.epoch++
 	n.sent, n.received = map[int]uint32{}, map[int][2]uint32{}
-	n.ledger = New(Config{Self: i, Limiters: len(w.limiters), Gossips: true, Plans: []Plan{w.plan}, Epoch: n.epoch}, w.clock(n))
+	n.servesFrom = w.now
+	n.ledger = New(Config{
+		Self: i, Limiters: len(w.limiters), Gossips: true, Plans: []Plan{w.plan}, Epoch: n.epoch, LongestAttempt: w.longestAttempt,
+	}, w.clock(n))
+}
+
+// servingAge is how long a limiter reports that it has been serving.
+func (w *tier) servingAge(n *limiter) uint8 {
+	if !w.servingAges {
+		return 0
+	}
+	return uint8(min((w.now-n.servesFrom)/gossip.ServingAgeStep, gossip.LeavingAge-1))
 }
 
 func (w *tier) account(n *limiter) *Account {
@@ -88,7 +104,8 @@
 		receiverEpoch = p.epoch
 	}
 	w.inFlight = append(w.inFlight, message{
-		from: i, to: j, epoch: n.epoch, receiverEpoch: receiverEpoch, seq: n.sent[j], requests: requests, grants: grants,
+		from: i, to: j, epoch: n.epoch, receiverEpoch: receiverEpoch, servingAge: w.servingAge(n), seq: n.sent[j],
+		requests: requests, grants: grants,
 	})
 }
 
@@ -99,7 +116,7 @@
 	if last, ok := n.received[m.from]; ok && last[0] == m.epoch && int32(m.seq-last[1]) <= 0 {
 		return
 	}
-	if !n.ledger.ObservePeer(m.from, m.epoch, m.receiverEpoch == n.epoch, 0, 0, now) {
+	if !n.ledger.ObservePeer(m.from, m.epoch, m.receiverEpoch == n.epoch, m.servingAge, w.servingAge(n), now) {
 		return
 	}
 	n.received[m.from] = [2]uint32{m.epoch, m.seq}
--- a/internal/quota/owner_transfer.go
+++ b/internal/quota/owner_transfer.go
@@ -153,15 +153,16 @@
 // granted it.
 func (l *Ledger) grantOwned(a *Account, lk *link, request gossip.TransferRequest, grant *gossip.Grant, now time.Duration) bool {
 	quota, ceiling := decodeUnits(request.QuotaWanted), decodeUnits(request.CeilingWanted)
-	slotsHeld := lk.takeBackSlots(int(request.SlotsHeld))
+	slotsWanted := int(request.SlotsWanted)
+	lk.acknowledgeGrants(int(request.SlotsHeld))
 	granted := (quota == 0 || a.quotaLevel >= quota) && (ceiling == 0 || a.ceilingLevel >= ceiling)
-	if a.plan().Slots > 0 {
-		granted = granted && a.slotLimit()-slotsHeld-a.SlotsInUse >= int(request.SlotsWanted)
-		if granted {
-			slotsHeld += int(request.SlotsWanted)
-		}
-		lk.lendSlots(slotsHeld, now)
-		grant.Slots = uint8(slotsHeld)
+	granted = granted && (a.plan().Slots <= 0 || a.spareSlots() >= slotsWanted)
+	if !granted {
+		slotsWanted = 0
+	}
+	if slots := a.lendSlots(lk, slotsWanted); slots > 0 {
+		lk.lent = []grantRecord{{loan: loan{slots: slots, expiresAt: now + lenderLoanDuration}}}
+		grant.Slots = uint8(slots)
 	}
 	if !granted {
 		return false
@@ -177,23 +178,6 @@
 	return true
 }
 
-// takeBackSlots ends the loans of slots to a peer, and returns how many slots the peer still uses.
-func (lk *link) takeBackSlots(slotsHeld int) int {
-	held := 0
-	for i := range lk.lent {
-		held += min(lk.lent[i].slots, slotsHeld)
-	}
-	lk.lent = nil
-	return held
-}
-
-// lendSlots lends slots to a peer that has none.
-func (lk *link) lendSlots(slots int, now time.Duration) {
-	if slots > 0 {
-		lk.lent = []grantRecord{{loan: loan{slots: slots, expiresAt: now + lenderLoanDuration}}}
-	}
-}
-
 // handleOwnedGrant takes in what an owner granted and reported.
 func (l *Ledger) handleOwnedGrant(peerID int, a *Account, grant gossip.Grant, now time.Duration) {
 	a.recordOwnerView(grant, now)
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -165,28 +165,3 @@
 		a.ceilingLevel += units
 	}
 }
-
-// ReleaseSlot reports that an attempt ended and its slot is free: a borrowed one goes back at once. The
-// caller sets Account.SlotsInUse first, without the slot.
-func (l *Ledger) ReleaseSlot(a *Account, _ time.Duration) {
-	if a.plan().Slots <= 0 || a.SlotsInUse >= a.slotLimit() {
-		return
-	}
-	for _, lk := range a.links {
-		if lk.borrowed.slots > 0 {
-			lk.borrowed.slots--
-			lk.returnDue = true
-			l.queueTransferRequest(a, lk)
-			return
-		}
-	}
-}
-
-// slotLimit is how many slots may be in use here.
-func (a *Account) slotLimit() int {
-	n := a.baseSlots
-	for _, lk := range a.links {
-		n += lk.borrowed.slots - lk.lentSlots()
-	}
-	return n
-}
--- a/internal/quota/sendqueue.go
+++ b/internal/quota/sendqueue.go
@@ -84,8 +84,9 @@
 		if !lk.pending && !lk.returnDue {
 			continue
 		}
-		if !lk.pending {
+		if !lk.pending || lk.slotReturns > 0 && !lk.isPending(now) { // a repeated request would give back nothing
 			l.startReturn(a, lk)
+			lk.slotReturns = max(lk.slotReturns-1, 0)
 		}
 		lk.returnDue = false
 		lk.lastSentAt = now
--- a/internal/quota/snapshot.go
+++ b/internal/quota/snapshot.go
@@ -146,6 +146,7 @@
 	NextRequestAt        time.Duration `json:"rest"`
 	Borrowed             loanState     `json:"got"`
 	Lent                 []lentState   `json:"out"`
+	LentBefore           []loanState   `json:"outBefore,omitempty"` // not in 0.9.1 and earlier
 	LastGrant            grantState    `json:"answer"`
 	CeilingBorrowedUntil time.Duration `json:"leant"`
 	DemandToReport       uint8         `json:"extra"`
@@ -200,6 +201,7 @@
 	SilentUntil    time.Duration `json:"silentUntil"`
 	Unresponsive   bool          `json:"missed"`
 	Dead           bool          `json:"dead"`
+	ServedBefore   bool          `json:"before,omitempty"` // not in 0.9.1 and earlier
 	QueuedGrants   []grantState  `json:"answers"`
 	QueuedForSend  bool          `json:"waiting"`
 }
@@ -447,6 +449,7 @@
 		NextRequestAt:        x.nextTransferRequestAt,
 		Borrowed:             newLoanState(x.borrowed),
 		Lent:                 memento.List(x.lent, newLentState),
+		LentBefore:           memento.List(x.lentBefore, newLoanState),
 		LastGrant:            newGrantState(x.lastGrant),
 		CeilingBorrowedUntil: x.ceilingBorrowedUntil,
 		DemandToReport:       x.demandToReport,
@@ -476,6 +479,7 @@
 		nextTransferRequestAt: s.NextRequestAt,
 		borrowed:              s.Borrowed.restore(),
 		lent:                  memento.List(s.Lent, lentState.restore),
+		lentBefore:            memento.List(s.LentBefore, loanState.restore),
 		lastGrant:             s.LastGrant.restore(),
 		ceilingBorrowedUntil:  s.CeilingBorrowedUntil,
 		demandToReport:        s.DemandToReport,
@@ -568,6 +572,7 @@
 		SilentUntil:    x.silentUntil,
 		Unresponsive:   x.unresponsive,
 		Dead:           x.dead,
+		ServedBefore:   x.servedBefore,
 		QueuedGrants:   memento.List(x.queuedGrants, newGrantState),
 		QueuedForSend:  x.queuedForSend,
 	}
@@ -583,6 +588,7 @@
 		silentUntil:    s.SilentUntil,
 		unresponsive:   s.Unresponsive,
 		dead:           s.Dead,
+		servedBefore:   s.ServedBefore,
 		queuedGrants:   memento.List(s.QueuedGrants, grantState.restore),
 		queuedForSend:  s.QueuedForSend,
 	}
--- a/internal/quota/transfer.go
+++ b/internal/quota/transfer.go
@@ -225,6 +225,9 @@
 func (l *Ledger) takeGrant(a *Account, lk *link, grant gossip.Grant) {
 	lk.pending = false
 	lk.borrowed = loan{slots: int(grant.Slots), expiresAt: lk.requestedAt + LoanDuration}
+	if grant.Slots > 0 {
+		l.watchBorrowedSlots(a)
+	}
 	if a.isAllocated() {
 		lk.borrowed.share = decodeShare(grant.Share)
 	}
