Keep a request's slot over its retries

Callers: a customer on a plan with a limit of attempts in flight had one more in flight than the plan allows after a retry.

Cause: onAttemptFinished gave the slot back before continueRequest decided on the retry, which then started without one; a retry that waits for a backend counted nowhere, and its slot went to the next request.

Change: a request takes its slot when it is admitted and frees it when it has ended and has no attempt in flight. What an event freed goes to a request that waits here, else back to its lender, after the event. A queued request that is rejected now gives a borrowed slot back as well.

Evidence: TestRetryThatWaitedNeedsASlot and TestRetryAtOnceKeepsItsBorrowedSlot failed before ("3 attempts in flight, 2 slots") and pass.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -70,8 +70,7 @@
 	}
 	r.class.arrivals++
 	r.queued = true
-	r.customer.queued++
-	ctl.syncSlots(r.customer)
+	ctl.takeSlot(r)
 	if ctl.rejectIfQueueTooLong(r) {
 		return
 	}
--- a/internal/admission/attempts.go
+++ b/internal/admission/attempts.go
@@ -13,14 +13,12 @@
 func (ctl *Controller) startAttempt(r *request, b *backend) {
 	if r.queued {
 		r.queued = false
-		r.customer.queued--
 		r.customer.account.MarkSent(r.Units)
 		ctl.retries.earn()
 	}
 	ctl.wakeBy(ctl.now + ctl.stuckAfter(r.class))
 	ctl.window.attemptRate.Add(ctl.now, 1, ctl.control.memorySeconds)
 	r.startAt(b, ctl.now)
-	ctl.syncSlots(r.customer)
 	action := StartAttempt{
 		Request: r.ID, Backend: b.ID, Deadline: r.deadline, Recovery: ctl.recoveryLeased() && ctl.recoveryDue(b),
 	}
@@ -41,8 +39,6 @@
 		r.retryPrepaid = false
 		ctl.retries.tokens++
 	}
-	ctl.syncSlots(r.customer)
-	ctl.customers.ledger.ReleaseSlot(r.customer.account, ctl.now)
 	ctl.onLoadReport(b, ev.Report)
 	ctl.recordResult(b, r, ev)
 	if !ev.Result.NeverRan() && r.mayHaveRunOn == nil {
@@ -85,7 +81,7 @@
 	}
 	r.attempts = ev.Attempt
 	r.startAt(b, ctl.now)
-	ctl.syncSlots(r.customer)
+	ctl.takeSlot(r)
 }
 
 // stuckAfter is how long an attempt may be in flight before it may be stuck.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -86,6 +86,7 @@
 		ctl.start()
 	}
 	ctl.handle(ev)
+	ctl.reuseFreedSlots()
 	ctl.sendQueuedMessages()
 	ctl.armTimer()
 	out, ctl.actions = ctl.actions, nil
--- a/internal/admission/customers.go
+++ b/internal/admission/customers.go
@@ -40,8 +40,7 @@
 	lastSeen     time.Duration // clock time
 	meanUnits    float64       // running mean of the units of a request
 
-	inFlight int // requests with an attempt in flight
-	queued   int // requests that are queued
+	slots int // requests with a slot: admitted, and neither ended nor, if ended, without an attempt in flight
 
 	waiting       []*request // for a grant, in the order of their arrival
 	waitsForGrant bool       // is in customerSet.waiting
@@ -55,6 +54,8 @@
 	order     []*customer // in the order of their first requests
 	waiting   []*customer // with requests that wait for a grant
 
+	slotsFreed []*customer // whose slots the event at hand freed
+
 	firstRequestAt time.Duration // clock time of the first request; 0 for none
 	leaving        bool          // this limiter shuts down
 }
@@ -167,12 +168,45 @@
 	return slices.Clone(ctl.customers.waiting)
 }
 
-// syncSlots sets in the ledger how many slots of a customer are in use here: a queued request takes one as
-// an attempt in flight does, so that it has one when it is forwarded.
-func (ctl *Controller) syncSlots(c *customer) {
-	c.account.SlotsInUse = c.inFlight + c.queued
+// takeSlot gives a request that is admitted a slot, which it keeps until it has ended and has no attempt in
+// flight: a queued request has one when it is forwarded, and a retry that waits for a backend when it is sent.
+func (ctl *Controller) takeSlot(r *request) {
+	if !r.hasSlot {
+		r.hasSlot = true
+		r.customer.slots++
+		ctl.syncSlots(r.customer)
+	}
+}
+
+// freeSlot frees the slot of a request that has ended.
+func (ctl *Controller) freeSlot(r *request) {
+	if !r.hasSlot {
+		return
+	}
+	r.hasSlot = false
+	r.customer.slots--
+	ctl.syncSlots(r.customer)
+	if r.customer.plan.MaxConcurrent > 0 {
+		ctl.customers.slotsFreed = append(ctl.customers.slotsFreed, r.customer)
+	}
+}
+
+// reuseFreedSlots gives slots that an event freed to requests that wait here, and the rest back to their lenders.
+func (ctl *Controller) reuseFreedSlots() {
+	for len(ctl.customers.slotsFreed) > 0 {
+		c := ctl.customers.slotsFreed[0]
+		ctl.customers.slotsFreed = ctl.customers.slotsFreed[1:]
+		if c.waitsForGrant {
+			ctl.settleCustomer(c)
+		}
+		ctl.customers.ledger.ReleaseSlot(c.account, ctl.now)
+	}
+	ctl.customers.slotsFreed = nil
 }
 
+// syncSlots sets in the ledger how many slots of a customer are in use here.
+func (ctl *Controller) syncSlots(c *customer) { c.account.SlotsInUse = c.slots }
+
 // startShutdown gives the quotas up for the other limiters and notifies them at once, whatever the pace of
 // messages, as the program may end any moment. With more than activePeers others each is sent a single
 // notice: if it is lost, the reply to the next transfer request carries the shutdown as well.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -16,6 +16,7 @@
 	usefulUntil time.Duration // clock time after which an answer is worth little
 	deadline    time.Duration // clock time at which the client stops waiting
 
+	hasSlot    bool // counts among its customer's slots
 	queued     bool // units are reserved, and no attempt was made yet
 	ended      bool // answered, or ended by the caller
 	responding bool // the client is being sent a response
@@ -38,7 +39,6 @@
 
 // startAt records that an attempt starts at a backend.
 func (r *request) startAt(b *backend, now time.Duration) {
-	r.customer.inFlight++
 	b.inFlight = append(b.inFlight, r)
 	r.backend = b
 	r.sentAt = now
@@ -54,7 +54,6 @@
 	b := r.backend
 	r.backend = nil
 	b.inFlight = slices.DeleteFunc(b.inFlight, func(o *request) bool { return o == r })
-	r.customer.inFlight--
 	return b
 }
 
@@ -100,8 +99,6 @@
 func (ctl *Controller) release(r *request) {
 	if r.queued {
 		r.queued = false
-		r.customer.queued--
-		ctl.syncSlots(r.customer)
 		ctl.customers.ledger.Refund(r.customer.account, r.Units, ctl.now)
 	}
 	if r.backend != nil && ctl.cancelable(r) {
@@ -109,6 +106,7 @@
 	}
 	r.ended = true
 	if r.backend == nil {
+		ctl.freeSlot(r)
 		delete(ctl.requests, r.ID)
 	}
 }
--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -104,7 +104,7 @@
 	if c.planIndex >= len(ctl.settings.Plans) {
 		return false
 	}
-	c.plan, c.queued, c.inFlight = &ctl.settings.Plans[c.planIndex], 0, 0
+	c.plan, c.slots = &ctl.settings.Plans[c.planIndex], 0
 	c.account = ctl.customers.ledger.Find(hashOf(c.name), c.planIndex, c.firstLimiter, c.setSize)
 	if c.account == nil {
 		return false
