Play the random loads of slots side by side

Cause: TestSlotsUnderRandomLoad took most of the 77 s of its package under the race detector.

Change: its cases run in parallel; cases, seeds and checks are the same.

--- a/internal/quota/slots_random_test.go
+++ b/internal/quota/slots_random_test.go
@@ -593,6 +593,7 @@
 func TestSlotsUnderRandomLoad(t *testing.T) {
 	for _, c := range slotCases() {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			first, runs := *slotFirst, *slotRuns
 			if *slotSeed > 0 {
 				first, runs = *slotSeed, 1
