Allow for two clocks exactly where a loan ends

Callers: a ceiling could be exceeded for 0.4 ms at the end of a loan, with a lender's clock 1% fast, a borrower's 1% slow, and a message of under 0.4 ms.

Cause: a lender added twice the drift of a clock to a loan's duration. A fast clock shows (1 + d) / (1 - d) while a slow one shows 1, which is more.

Evidence: TestShareLoanWithClocksAtBounds failed before (1.373 of the ceiling in use 2.0199 s after the request) and passes.

--- /dev/null
+++ b/internal/quota/drift_test.go
@@ -0,0 +1,41 @@
+package quota
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a share that is used on both sides of a loan at its end: clocks at their bounds, a message that
+// takes no time, and a loan that lasted longer at the borrower than at the lender.
+func TestShareLoanWithClocksAtBounds(t *testing.T) {
+	w := &tier{plan: Plan{Quota: Bucket{Rate: 50, Burst: 200}, Ceiling: Bucket{Rate: 10, Burst: 24}}}
+	w.limiters = []*limiter{
+		{clockRate: 1 - ClockDrift, clockOffset: time.Hour},
+		{clockRate: 1 + ClockDrift, clockOffset: time.Hour},
+	}
+	for i := range w.limiters {
+		w.start(i)
+	}
+	borrower := w.limiters[0]
+	w.exchangeRound(0)
+	w.pass(5 * time.Second)
+	w.crowd(borrower)
+	w.exchangeRound(0)
+	w.exchangeRound(0) // brings the loan
+	if w.sharesLent() == 0 {
+		t.Fatal("no share was lent")
+	}
+	const step = 100 * time.Microsecond
+	for range 2100 * time.Millisecond / step {
+		w.pass(step)
+		sum := 0.0
+		for _, n := range w.limiters {
+			a := w.account(n)
+			a.advance(w.clock(n))
+			sum += a.fractions(true).ceiling
+		}
+		if sum > 1+1e-9 {
+			t.Fatalf("at %v limiters use %.3f of the ceiling", w.now, sum)
+		}
+	}
+}
--- a/internal/quota/refill.go
+++ b/internal/quota/refill.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file is the arithmetic of allocations: which fraction of each bucket is this limiter's, and how
 // levels change with time.
@@ -8,6 +11,14 @@
 // ClockDrift is the most that a clock may run fast or slow, as a fraction.
 const ClockDrift = 0.01
 
+// clockRatio is the most that one limiter's clock shows while another's shows one.
+const clockRatio = (1 + ClockDrift) / (1 - ClockDrift)
+
+// allowForDrift is the longest that this limiter's clock shows while another's shows a duration.
+func allowForDrift(duration time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(duration) * clockRatio))
+}
+
 // advance brings an account up to a clock time.
 func (a *Account) advance(now time.Duration) {
 	if a.isAllocated() {
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -38,7 +38,7 @@
 	if l.LongestAttempt <= 0 {
 		return math.MaxInt64
 	}
-	return expiresAt + l.LongestAttempt + time.Duration(float64(l.LongestAttempt)*2*ClockDrift)
+	return expiresAt + allowForDrift(l.LongestAttempt)
 }
 
 // lentSlots is how many slots of this limiter the peer may be using.
