--- /dev/null
+++ b/internal/core/slots_cases_test.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"lemongate/internal/admission"
+)
+
+// newSlotMachine returns a machine with a plan of two attempts in flight.
+func newSlotMachine() *Machine {
+	settings := testSettings
+	settings.Limiters, settings.GossipEnabled = 1, false
+	settings.Plans = []admission.Plan{{Name: "small", MaxConcurrent: 2, WeightFactor: 1}}
+	endpoints := []Endpoint{
+		newEndpoint("a", "h:1", admission.Live, 0), newEndpoint("b", "h:2", admission.Live, 0), newEndpoint("c", "h:3", admission.Live, 0),
+	}
+	m, _ := New(time.Hour, Config{Settings: settings, Seed: 1, KnownEndpoints: endpoints})
+	return m
+}
+
+// Guards against a retry of a predecessor that has no slot: it reports the end of the first attempt before the start of
+// the second, and the successor starts an attempt of its own between them.
+func TestRetryOfPredecessorIsWithinTheSlots(t *testing.T) {
+	predecessor, successor := newSlotMachine(), newSlotMachine()
+	first := effectsOf[StartAttempt](predecessor.Step(time.Hour, readRequest(1, time.Hour, time.Second)))[0]
+	for _, open := range predecessor.packState().OpenAttempts {
+		successor.Step(time.Hour, &PredecessorAttemptStarted{open})
+	}
+	inFlight := 1
+	start := func(id RequestID) {
+		inFlight += len(effectsOf[StartAttempt](successor.Step(time.Hour, readRequest(id, time.Hour, time.Second))))
+	}
+	start(1000)
+	ended := &AttemptFinished{Attempt: first.Attempt, Result: admission.Unreachable}
+	for _, effect := range predecessor.Step(time.Hour, ended) {
+		switch effect := effect.(type) {
+		case ReportAttemptFinished:
+			inFlight--
+			successor.Step(time.Hour, &PredecessorAttemptFinished{effect.FinishedAttempt})
+			start(1001)
+		case ReportAttemptStarted:
+			inFlight++
+			successor.Step(time.Hour, &PredecessorAttemptStarted{effect.OpenAttempt})
+		}
+	}
+	if inFlight > 2 {
+		t.Errorf("%d attempts in flight, 2 slots", inFlight)
+	}
+}
+
+// Guards against the slots of a predecessor that died: backends may still be at work for it, as for any limiter that
+// restarted.
+func TestAttemptsOfPredecessorThatDiedKeepTheirSlots(t *testing.T) {
+	successor := newSlotMachine()
+	for id := range RequestID(2) {
+		request := readRequest(id+1, time.Hour, time.Second)
+		successor.Step(time.Hour, &PredecessorAttemptStarted{OpenAttempt{Request: request.Request, Backend: "a"}})
+	}
+	successor.Step(time.Hour, LinkClosed{})
+	if started := effectsOf[StartAttempt](successor.Step(time.Hour, readRequest(1000, time.Hour, time.Second))); len(started) > 0 {
+		t.Error("an attempt started at once, while backends may be at work for two of the predecessor, with two slots")
+	}
+}
