Count the slots of customers that share an account together

Callers: of two customers whose names have the same hash, on one plan and set, one could have its attempts in flight uncounted.

Cause: both share an account, and each set Account.SlotsInUse to its own number.

Change: a request adds to the account's number and takes from it.

Evidence: TestCustomersWithEqualHashesShareNoCount failed before (3 attempts of 2 slots) and passes.

--- a/internal/admission/customers.go
+++ b/internal/admission/customers.go
@@ -174,7 +174,7 @@
 	if !r.hasSlot {
 		r.hasSlot = true
 		r.customer.slots++
-		ctl.syncSlots(r.customer)
+		r.customer.account.SlotsInUse++
 	}
 }
 
@@ -185,7 +185,7 @@
 	}
 	r.hasSlot = false
 	r.customer.slots--
-	ctl.syncSlots(r.customer)
+	r.customer.account.SlotsInUse--
 	if r.customer.plan.MaxConcurrent > 0 {
 		ctl.customers.slotsFreed = append(ctl.customers.slotsFreed, r.customer)
 	}
@@ -204,9 +204,6 @@
 	ctl.customers.slotsFreed = nil
 }
 
-// syncSlots sets in the ledger how many slots of a customer are in use here.
-func (ctl *Controller) syncSlots(c *customer) { c.account.SlotsInUse = c.slots }
-
 // startShutdown gives the quotas up for the other limiters and notifies them at once, whatever the pace of
 // messages, as the program may end any moment. With more than activePeers others each is sent a single
 // notice: if it is lost, the reply to the next transfer request carries the shutdown as well.
--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -109,7 +109,7 @@
 	if c.account == nil {
 		return false
 	}
-	ctl.syncSlots(c)
+	c.account.SlotsInUse = 0 // its attempts are adopted one by one
 	ctl.customers.byKey[customerKey{c.name, c.plan.Name}] = c
 	return true
 }
@@ -164,5 +164,5 @@
 	c.account = ctl.customers.ledger.Account(c.account.CustomerHash, c.planIndex, c.firstLimiter, c.setSize, ctl.now)
 	ctl.customers.byKey[key] = c
 	ctl.customers.order = append(ctl.customers.order, c)
-	ctl.syncSlots(c)
+	c.account.SlotsInUse += c.slots
 }
