Repeat a message that gives back slots only where no grant answers it

Cause: each message that gives back slots was sent twice, blindly, in the place of transfer requests. And none was repeated while another slot stayed borrowed.

Evidence: TestSlotReturnRepeatedBesideBorrowedSlot failed before (a slot still lent after 1 s) and passes.

--- a/internal/quota/owner_transfer.go
+++ b/internal/quota/owner_transfer.go
@@ -113,7 +113,8 @@
 	l.borrowCeiling(a, now)
 	a.addOwnerView(&grant, now)
 	lk.lastGrant = grant
-	if request.QuotaWanted+request.CeilingWanted > 0 || request.SlotsWanted > 0 { // nothing waits for a mere return
+	wanted := request.QuotaWanted+request.CeilingWanted > 0 || request.SlotsWanted > 0
+	if wanted || a.plan().Slots > 0 { // nothing waits for a mere return, but that of a slot is repeated
 		l.queueGrant(peerID, grant)
 	}
 }
@@ -183,6 +184,7 @@
 	a.recordOwnerView(grant, now)
 	lk := a.link(peerID)
 	if !lk.accepts(grant, now) {
+		lk.acknowledgeReturn(grant)
 		return
 	}
 	l.takeGrant(a, lk, grant)
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -23,10 +23,10 @@
 // died, and one that resumes after a failed hot restart has attempts in flight.
 
 const (
-	// slotReturnInterval is the time between two messages that give back the same slots.
-	slotReturnInterval = 100 * time.Millisecond
-	// slotReturnMessages is how many messages give back slots: nothing acknowledges them, and some are lost.
-	slotReturnMessages = 2
+	// slotReturnInterval is the time without a grant after which a message that gives back slots is repeated, and
+	// slotReturnMessages how many are sent at most.
+	slotReturnInterval = 300 * time.Millisecond
+	slotReturnMessages = 3
 	// slotEvidencePeers is how many peers of a large set have to show that none of them served before this
 	// limiter started, see earlierSlotLoansEnded.
 	slotEvidencePeers = 3
@@ -155,7 +155,8 @@
 	l.slotBorrowers = slices.DeleteFunc(l.slotBorrowers, func(a *Account) bool {
 		a.advance(now)
 		l.returnUnusedSlots(a)
-		a.borrowsSlots = a.borrowedSlots() > 0 || l.repeatSlotReturns(a, now)
+		unfinished := l.repeatSlotReturns(a, now)
+		a.borrowsSlots = unfinished || a.borrowedSlots() > 0
 		return !a.borrowsSlots
 	})
 }
@@ -176,6 +177,14 @@
 	return unfinished
 }
 
+// acknowledgeReturn records a grant that nothing waits for: it shows that the lender has the slots that a message
+// gave back.
+func (lk *link) acknowledgeReturn(grant gossip.Grant) {
+	if lk.nonce == grant.Nonce {
+		lk.slotReturns = 0
+	}
+}
+
 // watchBorrowedSlots has ReturnUnusedSlots look at an account.
 func (l *Ledger) watchBorrowedSlots(a *Account) {
 	if !a.borrowsSlots {
--- a/internal/quota/transfer.go
+++ b/internal/quota/transfer.go
@@ -211,6 +211,7 @@
 	}
 	lk := a.link(peerID)
 	if !lk.accepts(grant, now) {
+		lk.acknowledgeReturn(grant)
 		return nil
 	}
 	l.takeGrant(a, lk, grant)
