Keep watches of other processes away from tests of the watch

It opens 428 fake discoveries on 127.0.0.1, at ports that the kernel chooses. A limiter of another process that had lost its discovery retries at the old port about ten times a second. When the kernel gives that port to a fake, the fake hands the limiter's watch to the test as the watcher's own. Nothing in the test has generation 1; the 3.03 s are the 3 s after which the other limiter gives up its silent watch, for which the fake's Close waits (the watcher of the test has an hour). The product is not at fault.

Change: the fakes listen on a loopback IP of the process's own (testnet.ListenApart). TestSilentAtAnyPoint has its listener there as well, and keeps it until its watcher has ended, so that its port is not given to a test beside it. What the tests check is as it was.

--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -14,6 +14,7 @@
 
 	"lemongate/internal/admission"
 	"lemongate/internal/core"
+	"lemongate/internal/testnet"
 )
 
 func indented(t *testing.T, text, indent string) string {
@@ -113,11 +114,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
+			l := testnet.ListenApart(t) // until the watcher has ended
 			fake := &fakeDiscovery{}
 			silent, done := make(chan net.Conn, 1), make(chan bool)
 			go func() {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -15,6 +16,7 @@
 
 	"lemongate/internal/admission"
 	"lemongate/internal/core"
+	"lemongate/internal/testnet"
 )
 
 const listText = `{"generation":41,"reset":true,"instances":[
@@ -58,7 +60,8 @@
 	}
 }
 
-// A fakeDiscovery hands each watch to the test.
+// A fakeDiscovery hands each watch to the test. It listens apart from other processes: limiters of theirs that had
+// lost a discovery on 127.0.0.1 watched this one in its place.
 type fakeDiscovery struct {
 	watches chan watch
 	server  *httptest.Server
@@ -73,7 +76,7 @@
 
 func newFakeDiscovery(t *testing.T) *fakeDiscovery {
 	d := &fakeDiscovery{watches: make(chan watch)}
-	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		lines := make(chan string)
 		select {
 		case d.watches <- watch{r.URL.RequestURI(), lines, r.Context().Done()}:
@@ -93,6 +96,9 @@
 			}
 		}
 	}))
+	_ = d.server.Listener.Close() // on 127.0.0.1, nobody has connected to it
+	d.server.Listener = testnet.ListenApart(t)
+	d.server.Start()
 	t.Cleanup(d.server.Close)
 	return d
 }
@@ -124,6 +130,32 @@
 	return w, events
 }
 
+// A limiter of another process retries its watch on 127.0.0.1, on a port that the kernel may have given out anew. Its
+// watch is not handed to a test: TestCutOffAtAnyByte took one from generation 1 for its own.
+func TestWatchOfOtherProcessIsNotTaken(t *testing.T) {
+	fake := newFakeDiscovery(t)
+	_, port, err := net.SplitHostPort(fake.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool, 1)
+	fake.watcher(t, func(w *Watcher) {
+		w.Addr, w.Generation = "127.0.0.1:"+port, 1
+		w.sleepOverride = func(time.Duration) {
+			select {
+			case ended <- true:
+			default:
+			}
+			time.Sleep(minBackoff)
+		}
+	})
+	select {
+	case taken := <-fake.watches:
+		t.Errorf("took the watch %s", taken.query)
+	case <-ended:
+	}
+}
+
 // A move ends the watch before it at once, and requests the complete list at the new address: the
 // generations of one discovery mean nothing at another. Until that has come nothing is posted, so the old
 // list holds. The last of several moves counts.
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"testing"
 )
@@ -19,6 +20,20 @@
 	return listener
 }
 
+// ListenApart returns a TCP listener on a free port of a loopback IP that no other process listens on. Sockets of
+// other processes that still connect to 127.0.0.1, where the kernel may have given out their port anew, do not reach
+// it. It is closed at the end of the test.
+func ListenApart(t testing.TB) *net.TCPListener {
+	t.Helper()
+	pid := os.Getpid() // 22 bits at most
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, byte(128+pid>>16&63), byte(pid>>8), byte(pid))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // the test may have closed it
+	return listener
+}
+
 // Dial returns a connection to an address, which is closed at the end of the test.
 func Dial(t testing.TB, addr string) *net.TCPConn {
 	t.Helper()
