End limiters with the program that started them

Cause: after SIGKILL of lemongate-experiment its limiters went on, logged nothing, and retried their watch from generation 1 on a port of 127.0.0.1 that the kernel gives to others.

Not the source: of 85 stand-ins of discovery in the tests of cmd/lemongate and 5 of a soak none was asked for a watch within 6 and 20 s after it had closed.

--- a/internal/processharness/limiter.go
+++ b/internal/processharness/limiter.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"syscall"
 )
 
 // Limiter is a limiter of a tier, whatever processes it has.
@@ -129,12 +130,14 @@
 	return p
 }
 
-// command is the command that starts a process with the configuration of a file.
+// command is the command that starts a process with the configuration of a file. The process is killed when this
+// program ends, however it ends: else it would go on, and retry its watch on a port that others get.
 func (l *Limiter) command(configPath string) *exec.Cmd {
 	program := l.tier.Program
 	cmd := exec.Command(program[0], program[1:]...)
 	cmd.Env = slices.Concat(os.Environ(), l.tier.Env, l.Env)
 	cmd.Env = append(cmd.Env, "ROUTER_CONFIG="+configPath, "TMPDIR="+l.Dir)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // with the thread that starts it, which Go keeps
 	return cmd
 }
 
