Hold a slot for an adopted attempt at a backend that is not listed

Callers: more attempts in flight than a plan allows over a hot restart, 3 of 2, where the predecessor had an attempt at a backend that its successor did not know.

Cause: adoptAttempt returned early where the backend, or the class, was unknown, so that the attempt counted nowhere.

It counts at no backend, as before.

--- a/internal/admission/attempts.go
+++ b/internal/admission/attempts.go
@@ -68,15 +68,12 @@
 	}
 }
 
-// adoptAttempt records an attempt of another process, in place of an earlier one of its request. Without a backend
-// it holds the slot of a request that may be retried.
+// adoptAttempt records an attempt of another process, in place of an earlier one of its request. One whose
+// class or backend is not known here counts at no backend, and has a slot all the same.
 func (ctl *Controller) adoptAttempt(ev *AttemptAdopted) {
-	if ev.Backend == "" {
-		ctl.holdAdoptedSlot(ev)
-		return
-	}
 	class, b := ctl.classes.byName[ev.Class], ctl.endpoints.byID[ev.Backend]
 	if class == nil || b == nil {
+		ctl.holdAdoptedSlot(ev)
 		return
 	}
 	r := ctl.requests[ev.ID]
--- a/internal/admission/heldslots_test.go
+++ b/internal/admission/heldslots_test.go
@@ -29,6 +29,17 @@
 			s.handle(&AttemptFinished{Request: 1000, Attempt: 1, Backend: "b", Result: Errored, Final: true})
 			s.handle(&RequestEnded{Request: 1000})
 		},
+		"the retry is at an unknown backend and succeeded": func(s *slotSide) {
+			s.handle(&AttemptAdopted{Request: adoptedRequest(1000), Attempt: 1, Backend: "gone"})
+			if got := s.slotsInUse(); got != 1 {
+				t.Errorf("%d slots in use by the retry, want 1", got)
+			}
+			s.handle(&AttemptFinished{Request: 1000, Attempt: 1, Backend: "gone", Result: Succeeded, Final: true})
+		},
+		"the retry is at an unknown backend, and nothing more was heard": func(s *slotSide) {
+			s.handle(&AttemptAdopted{Request: adoptedRequest(1000), Attempt: 1, Backend: "gone"})
+			s.advance(s.ctl.longestAttempt() + 50*ms)
+		},
 		"nothing more was heard": func(s *slotSide) { s.advance(s.ctl.longestAttempt() + 50*ms) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -78,12 +89,28 @@
 		s.handle(&AttemptAdopted{Request: request, Backend: "a"})
 		s.handle(&AttemptFinished{Request: request.ID, Backend: "a", Result: Unreachable, Final: true})
 		s.handle(&AttemptAdopted{Request: request})
+		s.handle(&AttemptAdopted{Request: request, Backend: "gone"})
 		if len(s.ctl.customers.held)+len(s.ctl.requests) > 0 || s.slotsInUse() > 0 {
 			t.Errorf("plan %s: %d slots held, %d requests", plan, len(s.ctl.customers.held), len(s.ctl.requests))
 		}
 	}
 }
 
+// An attempt of a class that is not known here has a slot, until it ends.
+func TestAdoptedAttemptOfUnknownClassHasASlot(t *testing.T) {
+	s := singleSlotSide(t)
+	request := adoptedRequest(1000)
+	request.Class = "gone"
+	s.handle(&AttemptAdopted{Request: request, Backend: "a"})
+	if got := s.slotsInUse(); got != 1 {
+		t.Errorf("%d slots in use, want 1", got)
+	}
+	s.handle(&AttemptFinished{Request: 1000, Backend: "a", Result: Succeeded, Final: true})
+	if got := s.slotsInUse(); got != 0 || len(s.ctl.customers.held) > 0 {
+		t.Errorf("%d slots in use after the attempt succeeded", got)
+	}
+}
+
 // Held slots go on with a snapshot, until the same time, and with a new epoch.
 func TestHeldSlotsGoOnWithTheState(t *testing.T) {
 	s := singleSlotSide(t)
