--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -41,8 +41,8 @@
 }
 
 // Snapshot returns what this Controller knows, for Resume in another process. Requests are not part of
-// it, but for the slots of retries that wait: those without an attempt have to be withdrawn before (RequestEnded), and attempts in flight are for
-// AttemptAdopted. The Controller must not be handed requests any more after it, except after an
+// it, but for the slots of retries that wait: those without an attempt have to be withdrawn before (RequestEnded),
+// and attempts in flight are for AttemptAdopted. The Controller must not be handed requests any more after it, except after an
 // EpochRenewed. The error is ErrNotStarted, or that a value has no stored form.
 func (ctl *Controller) Snapshot() ([]byte, error) {
 	if !ctl.started {
