Log at debug level how long each step of a hot restart takes

Cause: hot restarts fail on a busy machine, as the 150 ms in which nobody admits run out, and the log did not say what takes them: "phase handing" is logged only once the state is packed.

Change: each message of the protocol but heartbeats has a debug line with the time to decode it, the wait for the loop, the core's decision and its effects, and the state has one with its size and the time to encode it. Both processes log microseconds of one clock, so that their lines can be joined.

--- a/internal/eventloop/hotrestart.go
+++ b/internal/eventloop/hotrestart.go
@@ -56,6 +56,7 @@
 	core.Event // nil if the frame carried a client connection
 	from       *link.Conn
 	clientConn []*os.File
+	readAt     time.Time // when the frame had come completely; zero for the end of a link
 }
 
 // receiveLinkEvent returns the event for the core that an event from the edges contains, and reports
@@ -84,6 +85,37 @@
 	return received.Event, true
 }
 
+// protocolMessage returns the kind of a message of the protocol that an event brings, and reports whether it
+// brings one other than a heartbeat.
+func protocolMessage(ev core.Event) (kind hotrestart.Kind, ok bool) {
+	message, ok := ev.(*core.LinkMessageReceived)
+	if !ok || message.Kind == hotrestart.Heartbeat {
+		return 0, false
+	}
+	return message.Kind, true
+}
+
+// logDecoded logs how long it took to decode a message of the protocol. It may be called from any goroutine.
+func (l *Loop) logDecoded(received linkEvent) {
+	if kind, ok := protocolMessage(received.Event); ok {
+		l.log.Debug("message of the hot restart decoded", zap.Stringer("message", kind),
+			zap.Int64("read_us", received.readAt.UnixMicro()), zap.Duration("took", time.Since(received.readAt)))
+	}
+}
+
+// stepMessage is step for a message of the protocol. It logs how long the message waited for the loop, how long
+// the core took to decide, and how long the effects took. Both processes log by the same clock, so that the
+// lines of both can be joined.
+func (l *Loop) stepMessage(kind hotrestart.Kind, ev core.Event, readAt time.Time) {
+	begun := time.Now()
+	effects := l.core.Step(l.now(), ev)
+	decided := time.Now()
+	l.carryOut(effects)
+	l.log.Debug("message of the hot restart handled", zap.Stringer("message", kind),
+		zap.Int64("begun_us", begun.UnixMicro()), zap.Duration("waited", begun.Sub(readAt)),
+		zap.Duration("decided", decided.Sub(begun)), zap.Duration("carried_out", time.Since(decided)))
+}
+
 // closeSockets closes the sockets that came with an event which does not count.
 func closeSockets(ev core.Event) {
 	message, ok := ev.(*core.LinkMessageReceived)
@@ -279,13 +311,15 @@
 			c.Close()
 			return
 		}
+		readAt := time.Now()
 		received, err := receiveFrame(f)
 		if err != nil {
 			l.log.Error("frame of the other process could not be decoded", zap.Uint8("frame", f.Kind), zap.Error(err))
 			closeFiles(f.Sockets)
 			continue
 		}
-		received.from = c
+		received.from, received.readAt = c, readAt
+		l.logDecoded(received)
 		l.post(received)
 	}
 }
@@ -309,10 +343,12 @@
 // transferState sends a successor the state, the listener of clients and the socket of peers. A successor
 // that cannot read the state takes over without it.
 func (l *Loop) transferState(state core.HandoverState) {
+	begun := time.Now()
 	body, err := frameCodec.Marshal(newStateFrame(state))
 	if err != nil {
 		l.log.Error("state for the successor could not be encoded", zap.Error(err))
 	}
+	l.log.Debug("state for the successor encoded", zap.Int("bytes", len(body)), zap.Duration("took", time.Since(begun)))
 	sockets := []syscall.Conn{l.listener.(syscall.Conn)}
 	if l.peers != nil {
 		sockets = append(sockets, l.peers.Socket())
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -166,10 +166,15 @@
 
 // step hands an event to the core, and carries out what it returns.
 func (l *Loop) step(ev core.Event) {
+	received, _ := ev.(linkEvent) // the zero one if it did not come over a link
 	ev, ok := l.receiveLinkEvent(ev)
 	if !ok {
 		return
 	}
+	if kind, ok := protocolMessage(ev); ok {
+		l.stepMessage(kind, ev, received.readAt)
+		return
+	}
 	l.carryOut(l.core.Step(l.now(), ev))
 }
 
