Have the codecs of the state prepared before a hot restart stops admitting

That is done while nobody admits, and by the predecessor within its own 150 ms: with -race on a busy machine it had used them up before the state was sent, and withdrew at once.

Change: a process in which hot restarts are on has the codecs look through the types when it starts. The format is as it was, and no timeout is changed.

--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -37,6 +37,14 @@
 	Limiter     *limiterState `json:"Gateway"`
 }
 
+// PrepareSnapshots has the codec look through the stored types, which the first Snapshot and the first Resume of
+// a process would otherwise do, while no process admits. It takes some milliseconds.
+func PrepareSnapshots() {
+	data, _ := stateCodec.Marshal(snapshot{Limiter: &limiterState{}}) // a zero state has no value without a stored form
+	_ = stateCodec.Unmarshal(data, &snapshot{})                       // data has just been encoded
+	_ = fingerprint(Settings{})
+}
+
 // Snapshot returns what this Controller knows, for Resume in another process. Requests are not part of
 // it: those that wait have to be withdrawn before (RequestEnded), and attempts in flight are for
 // AttemptAdopted. The Controller must not be handed requests any more after it, except after an
--- a/internal/eventloop/frames.go
+++ b/internal/eventloop/frames.go
@@ -44,6 +44,14 @@
 // frameCodec encodes the bodies of frames.
 var frameCodec = jsoniter.Config{CaseSensitive: true}.Froze()
 
+// prepareTransfer has the codecs look through the types of a state, which would otherwise be done with the state
+// of a hot restart, while no process admits.
+func prepareTransfer() {
+	admission.PrepareSnapshots()
+	body, _ := frameCodec.Marshal(newStateFrame(core.HandoverState{})) // an empty state can be encoded
+	_ = decodeTransfer(link.Frame{Body: body})                         // it is empty
+}
+
 // helloFrame is the body of Hello: who the successor is.
 type helloFrame struct {
 	Format int    `json:"Format"`
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -113,6 +113,9 @@
 func (l *Loop) start() {
 	l.startUpstream()
 	l.startAdmin()
+	if l.config.HotRestart != nil {
+		prepareTransfer()
+	}
 	var effects []core.Effect
 	l.core, effects = core.New(l.now(), l.config.Core())
 	l.carryOut(effects)
