--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -113,6 +113,9 @@
 func (l *Loop) start() {
 	l.startUpstream()
 	l.startAdmin()
+	if l.config.HotRestart != nil {
+		prepareTransfer()
+	}
 	var effects []core.Effect
 	l.core, effects = core.New(l.now(), l.config.Core())
 	l.carryOut(effects)
@@ -166,10 +169,15 @@
 
 // step hands an event to the core, and carries out what it returns.
 func (l *Loop) step(ev core.Event) {
+	received, _ := ev.(linkEvent) // the zero one if it did not come over a link
 	ev, ok := l.receiveLinkEvent(ev)
 	if !ok {
 		return
 	}
+	if kind, ok := protocolMessage(ev); ok {
+		l.stepMessage(kind, ev, received.readAt)
+		return
+	}
 	l.carryOut(l.core.Step(l.now(), ev))
 }
 
