Judge a plan's limit of attempts in flight in the simulation

Cause: no scenario could give a plan its limit of attempts in flight, so the limit was never played above internal/quota, and no judge outside of the limiters counted attempts.

Change: a plan of a scenario has the optional key "concurrency". The slot judge counts each customer's attempts at the backends of all limiters, from their arrival until the response or the end of the connection, and apart from these what backends still do for processes that died. After the run it waits until every loan has ended and has two customers request all of their slots. New measures: slots_over, slots_over_killed, slots_over_tries, slots_refused_free, slots_unusable, slots_probed, slots_messages_per_s; a table of their own. The scheduler keeps what is due after the end, as the run goes on after it. Processes get the limit with the plan; nothing judges it there yet.

Stored forms: files and results without the key are as before. TestFormatOfConcurrency and TestSlotResultNames hold the new names.

TestSlotJudge... feed the judge attempts directly: two beyond a limit of two are found, at one limiter or at two, and none where one was finished or canceled before.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// A limit of attempts in flight has bounds and columns of its own.
+func TestSlotMeasures(t *testing.T) {
+	text := strings.Replace(strings.Replace(small, `"customers": 2`, `"concurrency": 3, "customers": 2`, 1),
+		`{"measure": "beyond", "most": 100}`, `{"measure": "slots_probed", "over": "each", "least": 7}`, 1)
+	x, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	outcomes := x.Run(1, 2)
+	if line, held := Verdict(outcomes); held || line != "verdict: broken: one case: slots_probed 6.00, at least 7" {
+		t.Error(line)
+	}
+	if table := Table(outcomes); !strings.Contains(table, "o.worst") || !strings.Contains(table, "unusable") {
+		t.Error(table)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(small))
 	f.Add([]byte(`{}`))
--- a/internal/experiment/format_test.go
+++ b/internal/experiment/format_test.go
@@ -1,8 +1,10 @@
 package experiment
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
+	"strings"
 	"testing"
 
 	"lemongate/internal/golden"
@@ -32,5 +34,49 @@
 		t.Fatal(err)
 	}
 	golden.Equal(t, "outcome.json", outcome)
-	golden.Equal(t, "experiment.schema.json", Schema)
+	golden.Equal(t, "experiment.schema.json", withoutLaterProperties(Schema))
+}
+
+// laterProperty is in the description of each property of the schema that the release which wrote the files did
+// not have. Such a property takes one line.
+const laterProperty = "; since 0."
+
+// withoutLaterProperties is the schema without the properties that were added since; the rest has to stay byte for
+// byte, and with it what is required.
+func withoutLaterProperties(schema []byte) []byte {
+	var kept []byte
+	for line := range bytes.Lines(schema) {
+		if !bytes.Contains(line, []byte(laterProperty)) {
+			kept = append(kept, line...)
+		}
+	}
+	return kept
+}
+
+// Plan.MaxConcurrent is read and written under the name that the settings of limiters have for it, and a plan
+// without it is written as before.
+func TestFormatOfConcurrency(t *testing.T) {
+	withLimit := strings.Replace(small, `"customers": 2`, `"concurrency": 6, "customers": 2`, 1)
+	x, err := Parse([]byte(withLimit))
+	if err != nil || x.Base.Plans[0].MaxConcurrent != 6 {
+		t.Fatalf("%+v, %v", x, err)
+	}
+	for _, c := range []struct {
+		text string
+		want bool
+	}{{withLimit, true}, {small, false}} {
+		x, err := Parse([]byte(c.text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := json.Marshal(x.Base.Plans[0])
+		if err != nil || strings.Contains(string(data), `"concurrency":6`) != c.want || strings.Contains(string(data), "concurrency") != c.want {
+			t.Errorf("%s, %v", data, err)
+		}
+	}
+	for _, wrong := range []string{`-1`, `1.5`, `"6"`} {
+		if _, err := Parse([]byte(strings.Replace(withLimit, `"concurrency": 6`, `"concurrency": `+wrong, 1))); err == nil || !strings.Contains(err.Error(), "/scenario/plans/0/concurrency") {
+			t.Errorf("%s: %v", wrong, err)
+		}
+	}
 }
--- a/internal/experiment/outcome.go
+++ b/internal/experiment/outcome.go
@@ -50,9 +50,11 @@
 
 // measures are the numbers of a result by their names in files.
 func measures(r simulation.Result) map[string]float64 {
-	data, _ := json.Marshal(r) // numbers and texts, which cannot fail
 	var fields map[string]any
-	_ = json.Unmarshal(data, &fields) // of what was marshaled just before
+	for _, part := range []any{r, r.Slots} {
+		data, _ := json.Marshal(part)     // numbers and texts, which cannot fail
+		_ = json.Unmarshal(data, &fields) // of what was marshaled just before
+	}
 	numbers := map[string]float64{}
 	for name, v := range fields {
 		if number, ok := v.(float64); ok {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -38,6 +38,23 @@
 	{"wait99", mean, "wait_99_ms"},
 }
 
+// slotColumns are those of experiments with plans that have a limit of attempts in flight.
+var slotColumns = []column{
+	{"reqs", mean, "reqs"},
+	{"served", mean, "served"},
+	{"over", mean, "slots_over"},
+	{"o.worst", worst, "slots_over"},
+	{"o.killed", worst, "slots_over_killed"},
+	{"o.tries", mean, "slots_over_tries"},
+	{"ref.free", mean, "slots_refused_free"},
+	{"unusable", worst, "slots_unusable"},
+	{"probed", mean, "slots_probed"},
+	{"failed", mean, "failed"},
+	{"msg/s", mean, "slots_messages_per_s"},
+	{"msg/req", mean, "messages_per_req"},
+	{"us/req", mean, "cpu_us_per_req"},
+}
+
 // usageColumns are those of experiments with usage reports.
 var usageColumns = []column{
 	{"holders", mean, "holders"},
@@ -145,6 +162,8 @@
 		return quotaColumns
 	}
 	switch first := outcomes[0]; {
+	case first.Worst["slots_probed"] > 0:
+		return slotColumns
 	case first.Worst["walked"] > 0:
 		return restartColumns
 	case first.Worst["periods"] > 0:
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -31,7 +31,8 @@
 const Patterns = 7
 
 // Fill fills what a pointer points to, unexported fields too. Fields that are not stored
-// (json:"-") and functions, channels and interfaces stay as they are.
+// (json:"-") and functions, channels and interfaces stay as they are; so do fields that the release which wrote
+// the files did not have, which name the first one that has them (since:"0.9.3") and are optional.
 func (f *Filler) Fill(pointer any) { f.fill(reflect.ValueOf(pointer).Elem()) }
 
 func (f *Filler) fill(v reflect.Value) {
@@ -88,7 +89,7 @@
 	case reflect.Struct:
 		for i := range v.NumField() {
 			field := v.Type().Field(i)
-			if field.Tag.Get("json") == "-" {
+			if field.Tag.Get("json") == "-" || field.Tag.Get("since") != "" {
 				continue
 			}
 			f.fill(reflect.NewAt(field.Type, unsafe.Pointer(v.Field(i).UnsafeAddr())).Elem())
--- a/internal/processharness/run.go
+++ b/internal/processharness/run.go
@@ -88,6 +88,7 @@
 	for _, p := range sc.Plans {
 		r.Plans = append(r.Plans, Plan{
 			Name: p.Name, Rate: p.Rate, Burst: p.Burst, CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst,
+			MaxConcurrent: p.MaxConcurrent,
 		})
 	}
 	for _, b := range r.Backends {
--- a/internal/simulation/backends.go
+++ b/internal/simulation/backends.go
@@ -56,6 +56,7 @@
 		return
 	}
 	a.over = true
+	a.limiter.world.judgeEnd(a)
 	a.limiter.world.after(backendDelay, func() {
 		if a.limiter.incarnation == a.incarnation {
 			a.limiter.post(&core.AttemptFinished{Attempt: a.id, Result: result, Report: report, Response: a.request.id})
@@ -119,6 +120,7 @@
 		return
 	}
 	w.judgeToken(a)
+	w.judgeArrival(a)
 	w.judgeQuota(a)
 	switch {
 	case b.busy < w.scenario.Backends.Cores:
@@ -148,6 +150,9 @@
 	if b.isRepeat(a.request) {
 		work = repeatWork
 	}
+	if w.slots.probing {
+		work = slotProbeWork
+	}
 	w.after(work, func() {
 		if b.incarnation == incarnation {
 			b.complete(a, work)
@@ -175,6 +180,7 @@
 	b.busy--
 	b.latency += latencyWeight * (work.Seconds()*1e3 - b.latency)
 	a.finish(admission.Succeeded, []float64{b.latency, b.utilization})
+	b.world.judgeEnd(a)
 	for len(b.queue) > 0 && b.busy < b.world.scenario.Backends.Cores {
 		next := b.queue[0]
 		b.queue = b.queue[1:]
@@ -206,6 +212,7 @@
 			a.finish(admission.ConnectionLost, nil)
 		}
 	}
+	w.judgeBackendDeath(b)
 	w.after(milliseconds(w.scenario.Backends.ListLag), w.publishEndpoints)
 }
 
--- a/internal/simulation/clients.go
+++ b/internal/simulation/clients.go
@@ -29,6 +29,7 @@
 	ceiling      Bucket // of what reaches the backends
 	ideal        Bucket // of one limiter that receives all first tries
 	tally        tally
+	slots        slotTally
 }
 
 // tally counts what one customer got, in units.
@@ -78,9 +79,10 @@
 }
 
 // cancelAttempt cancels an attempt, if there is one with the number.
-func (r *request) cancelAttempt(number int) {
+func (w *world) cancelAttempt(r *request, number int) {
 	if a := r.attempts[number]; a != nil {
 		a.over = true
+		w.judgeCancel(a)
 	}
 }
 
@@ -111,6 +113,7 @@
 		quota:        NewBucket(plan.Rate, plan.Burst, start),
 		ideal:        NewBucket(plan.Rate, plan.Burst, start),
 		ceiling:      NewBucket(plan.CeilingRate, plan.CeilingBurst, start),
+		slots:        slotTally{limit: plan.MaxConcurrent},
 	}
 }
 
@@ -127,6 +130,9 @@
 	plan := w.scenario.Plans[c.plan]
 	interval := w.exponential(seconds(w.scenario.Traffic.MeanUnits() / (plan.Rate * plan.LoadFactor)))
 	w.after(interval, func() {
+		if w.now > w.end {
+			return
+		}
 		w.sendFirstTry(c)
 		w.scheduleArrival(c)
 	})
@@ -171,6 +177,7 @@
 		return
 	}
 	w.result.Requests++
+	w.slots.tries++
 	budget := milliseconds(w.scenario.Traffic.Deadline)
 	w.openRequests[requestKey{l.number, core.RequestID(r.id)}] = r
 	w.after(clientDelay, l.ifAlive(func() { l.post(w.requestReceived(r, budget)) }))
@@ -273,6 +280,7 @@
 	if c.quota.Refill(w.now) > c.quota.burst/2 {
 		c.tally.rejectedWithinQuota += r.units
 	}
+	w.judgeRejection(c, c.quota.level >= r.units)
 	if r.retries <= 0 {
 		return
 	}
--- a/internal/simulation/clock.go
+++ b/internal/simulation/clock.go
@@ -37,10 +37,10 @@
 // runUntil runs all tasks up to and including those of the time end.
 func (s *scheduler) runUntil(end time.Duration) {
 	for len(s.queue) > 0 {
-		next := heap.Pop(&s.queue).(task)
-		if next.at > end {
+		if s.queue[0].at > end {
 			return
 		}
+		next := heap.Pop(&s.queue).(task)
 		s.now = next.at
 		next.run()
 	}
--- a/internal/simulation/clock_test.go
+++ b/internal/simulation/clock_test.go
@@ -27,3 +27,18 @@
 		t.Errorf("the clock is at %v", s.now)
 	}
 }
+
+// What is scheduled for after the end runs when the run goes on.
+func TestSchedulerKeepsTasksAfterEnd(t *testing.T) {
+	s := scheduler{now: start}
+	ran := 0
+	s.at(start+time.Second, func() { ran++ })
+	s.runUntil(start + time.Second - 1)
+	if ran != 0 {
+		t.Error("ran before its time")
+	}
+	s.runUntil(start + time.Second)
+	if ran != 1 {
+		t.Errorf("ran %d times, want once", ran)
+	}
+}
--- a/internal/simulation/limiter.go
+++ b/internal/simulation/limiter.go
@@ -110,6 +110,7 @@
 			CeilingBurst:   p.CeilingBurst,
 			ExcessFraction: p.ExcessFraction,
 			OverQuotaCost:  p.OverQuotaCost,
+			MaxConcurrent:  p.MaxConcurrent,
 		})
 	}
 	return set
@@ -146,6 +147,7 @@
 
 // stop ends the process; what is scheduled for it is void.
 func (l *limiter) stop() {
+	l.world.judgeDeath(l)
 	l.incarnation++
 	l.machine = nil
 }
@@ -221,7 +223,9 @@
 		}
 	case core.CancelAttempt:
 		if r := l.openRequest(e.Attempt.Request); r != nil {
-			r.cancelAttempt(e.Attempt.Number)
+			w.cancelAttempt(r, e.Attempt.Number)
+		} else {
+			w.judgeLateCancel(l, e.Attempt)
 		}
 	case core.Respond:
 		w.respond(l, e)
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -63,6 +63,8 @@
 	LeaseBytes      float64 `json:"lease_bytes_per_s"`
 	LeaseBusiest    float64 `json:"lease_busiest_per_s"` // messages to the limiter that receives most
 
+	Slots SlotResult `json:"-"` // its figures stand beside those of the Result
+
 	Breaches int      `json:"breaches"` // of rules
 	Broken   []string `json:"broken,omitempty"`
 }
@@ -107,6 +109,7 @@
 	r.BytesPerRequest = float64(r.Bytes) / requests
 	r.CPUPerRequest = float64(w.coreTime.Microseconds()) / requests
 	w.summarizeLeases()
+	r.Slots = w.slots.result(&w.scenario, r.Messages)
 	return *r
 }
 
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -56,7 +56,8 @@
 	ExcessFraction float64 `json:"excess_worth"`  // see admission.Plan.ExcessFraction
 	OverQuotaCost  float64 `json:"over_cost"`     // see admission.Plan.OverQuotaCost
 	Customers      int     `json:"customers"`
-	LoadFactor     float64 `json:"times"` // units that a customer requests, in multiples of the rate
+	LoadFactor     float64 `json:"times"`                               // units that a customer requests, in multiples of the rate
+	MaxConcurrent  int     `json:"concurrency,omitempty" since:"0.9.3"` // attempts in flight of a customer; 0 for no limit
 }
 
 // Traffic describes how requests arrive.
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -4,7 +4,8 @@
 // event for event.
 //
 // A run is judged from outside of the limiters: by reference token buckets of every customer, which count
-// what reaches the backends, and by what each limiter would do under its leases at each time.
+// what reaches the backends, by the attempts that are at the backends at once, and by what each limiter would do
+// under its leases at each time.
 package simulation
 
 import (
@@ -33,7 +34,12 @@
 		w.at(start+seconds(f.At), func() { w.startFault(f) })
 	}
 	w.runUntil(w.end)
-	return w.finish()
+	r := w.finish()
+	if sc.limitsSlots() {
+		w.probeSlots()
+		w.summarizeProbe(&r)
+	}
+	return r
 }
 
 // world is the state of a run.
@@ -54,6 +60,7 @@
 	leases       leaseJudge
 	restarts     restartJudge
 	usage        usageJudge
+	slots        slotJudge
 
 	coreTime   time.Duration // real time that the state machines took
 	queueTimes []float64     // ms, see Result.Wait50
--- /dev/null
+++ b/internal/simulation/slotjudge_test.go
@@ -0,0 +1,152 @@
+package simulation
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"lemongate/internal/golden"
+)
+
+// slotWorld is a world with one customer that may have two attempts in flight, two limiters and a backend that
+// does not finish by itself.
+func slotWorld() (*world, *customer) {
+	sc := Scenario{
+		Limiters: 2, Seconds: 10,
+		Plans:    []Plan{{Name: "p", Rate: 100, Burst: 100, Customers: 1, LoadFactor: 1, MaxConcurrent: 2}},
+		Traffic:  Traffic{Units: []float64{1}, Deadline: 1000},
+		Backends: Backend{Count: 1, Cores: 10, Work: 1e9, Queue: 10},
+	}
+	w := newWorld(sc, 1, nil)
+	w.startBackends()
+	w.customers = []*customer{w.newCustomer(0, 0)}
+	for i := range sc.Limiters {
+		w.limiters = append(w.limiters, &limiter{world: w, number: i, clockRate: 1})
+	}
+	return w, w.customers[0]
+}
+
+// arrive has an attempt of a new request arrive at the backend.
+func (w *world) arrive(l *limiter) *attempt {
+	w.lastID++
+	r := &request{id: w.lastID, customer: w.customers[0], limiter: l, units: 1, sentAt: w.now, attempts: map[int]*attempt{}}
+	a := &attempt{limiter: l, request: r, backend: w.backends[0]}
+	r.attempts[0] = a
+	w.backends[0].receive(a)
+	return a
+}
+
+func checkSlots(t *testing.T, w *world, over, overKilled, overTries int) {
+	t.Helper()
+	if j := w.slots; j.over != over || j.overKilled != overKilled || j.overTries != overTries {
+		t.Errorf("%d over, %d with those left behind, %d tries; want %d, %d and %d", j.over, j.overKilled, j.overTries, over, overKilled, overTries)
+	}
+}
+
+// The judge counts the attempts of all limiters together.
+func TestSlotJudgeCountsExcess(t *testing.T) {
+	w, _ := slotWorld()
+	w.arrive(w.limiters[0])
+	w.arrive(w.limiters[1])
+	checkSlots(t, w, 0, 0, 0)
+	w.arrive(w.limiters[0])
+	checkSlots(t, w, 1, 1, 1)
+	w.arrive(w.limiters[1])
+	checkSlots(t, w, 2, 2, 2)
+	if r := w.slots.result(&w.scenario, 0); r.Over != 2 || r.OverKilled != 2 || r.OverTries != 2 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// An attempt is in flight until its backend has responded or learns that its connection has ended.
+func TestSlotJudgeCountsUntilConnectionEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(w *world, a *attempt)
+		wait time.Duration
+		over int
+	}{
+		{"finished", func(_ *world, a *attempt) { a.backend.complete(a, time.Second) }, 0, 0},
+		{"canceled just before", func(w *world, a *attempt) { w.cancelAttempt(a.request, 0) }, backendDelay - 1, 1},
+		{"canceled", func(w *world, a *attempt) { w.cancelAttempt(a.request, 0) }, backendDelay, 0},
+		{"canceled after the response", func(w *world, a *attempt) { w.judgeLateCancel(a.limiter, a.id) }, backendDelay, 0},
+		{"in flight", func(*world, *attempt) {}, time.Hour, 1},
+	} {
+		w, _ := slotWorld()
+		a := w.arrive(w.limiters[0])
+		w.arrive(w.limiters[1])
+		c.end(w, a)
+		w.runUntil(w.now + c.wait)
+		w.now = max(w.now, start+c.wait)
+		w.arrive(w.limiters[1])
+		if w.slots.over != c.over {
+			t.Errorf("%s: %d over, want %d", c.name, w.slots.over, c.over)
+		}
+	}
+}
+
+// What a process that died left at its backends counts apart, until the backend is done with it, at most until
+// the request's deadline.
+func TestSlotJudgeCountsAttemptsLeftBehind(t *testing.T) {
+	w, c := slotWorld()
+	a := w.arrive(w.limiters[0])
+	w.arrive(w.limiters[0])
+	w.limiters[0].kill()
+	w.arrive(w.limiters[1])
+	checkSlots(t, w, 0, 1, 0)
+	a.over = true
+	w.backends[0].complete(a, time.Second)
+	if len(c.slots.leftBehind) != 1 {
+		t.Errorf("%d left behind, want 1", len(c.slots.leftBehind))
+	}
+	w.runUntil(w.now + 2*time.Second)
+	if len(c.slots.leftBehind) != 0 || len(c.slots.inFlight) != 1 {
+		t.Errorf("%d left behind, %d in flight, want 0 and 1", len(c.slots.leftBehind), len(c.slots.inFlight))
+	}
+}
+
+// A rejection counts where a slot and the units are free.
+func TestSlotJudgeCountsRejectionsWithFreeSlot(t *testing.T) {
+	w, c := slotWorld()
+	reject := func() { w.handleRejection(&request{customer: c, units: 1}, 0) }
+	reject()
+	w.arrive(w.limiters[0])
+	reject()
+	w.arrive(w.limiters[1])
+	reject()
+	if w.slots.rejectedFree != 2 {
+		t.Errorf("%d, want 2", w.slots.rejectedFree)
+	}
+	a := c.slots.inFlight[0]
+	a.backend.complete(a, time.Second)
+	c.quota.Consume(w.now, 200)
+	reject()
+	if w.slots.rejectedFree != 2 {
+		t.Errorf("%d with no units, want 2", w.slots.rejectedFree)
+	}
+}
+
+// The probe finds the slots that no limiter can use.
+func TestSlotProbe(t *testing.T) {
+	sc := smallTier(3, 3)
+	sc.Seconds = 4
+	sc.Plans = []Plan{{Name: "p", Rate: 100, Burst: 100, Customers: 1, LoadFactor: 0.2, MaxConcurrent: 6}}
+	if r := Run(sc, 1); r.Slots.Over != 0 || r.Slots.Unusable != 0 || r.Slots.Probed != 6 || r.Slots.Messages <= 0 {
+		t.Errorf("%+v", r.Slots)
+	}
+	sc.Faults = []Fault{{Kind: FaultDeaf, At: 1, For: 100, Limiters: []int{0, 1, 2}}, {Kind: FaultStall, At: 1, For: 100, Limiters: []int{0}}}
+	if r := Run(sc, 1); r.Slots.Unusable != 2 {
+		t.Errorf("%v unusable with a limiter that stalls and no loans, want its 2", r.Slots.Unusable)
+	}
+}
+
+// The figures have the names that the bounds of experiments use.
+func TestSlotResultNames(t *testing.T) {
+	var r SlotResult
+	(&golden.Filler{}).Fill(&r)
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden.Equal(t, "slot_result.json", data)
+}
