--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -32,7 +32,7 @@
 
 // Fill fills what a pointer points to, unexported fields too. Fields that are not stored
 // (json:"-") and functions, channels and interfaces stay as they are; so do fields that the release which wrote
-// the files did not have, which name the first one that has them (since:"0.9.3") and are optional.
+// the files did not have, which name the first one that has them (since:"0.9.2") and are optional.
 func (f *Filler) Fill(pointer any) { f.fill(reflect.ValueOf(pointer).Elem()) }
 
 func (f *Filler) fill(v reflect.Value) {
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -57,7 +57,7 @@
 	OverQuotaCost  float64 `json:"over_cost"`     // see admission.Plan.OverQuotaCost
 	Customers      int     `json:"customers"`
 	LoadFactor     float64 `json:"times"`                               // units that a customer requests, in multiples of the rate
-	MaxConcurrent  int     `json:"concurrency,omitempty" since:"0.9.3"` // attempts in flight of a customer; 0 for no limit
+	MaxConcurrent  int     `json:"concurrency,omitempty" since:"0.9.2"` // attempts in flight of a customer; 0 for no limit
 }
 
 // Traffic describes how requests arrive.
--- a/internal/simulation/slotjudge.go
+++ b/internal/simulation/slotjudge.go
@@ -24,7 +24,7 @@
 )
 
 // SlotResult is what came of the limits of attempts in flight, see Plan.MaxConcurrent. All is zero where no
-// plan has one. Its figures are measures like those of Result; releases up to 0.9.2 do not have them.
+// plan has one. Its figures are measures like those of Result; releases up to 0.9.1 do not have them.
 type SlotResult struct {
 	Over         float64 `json:"slots_over"`         // attempts in flight beyond the limit, of the customer with most
 	OverKilled   float64 `json:"slots_over_killed"`  // the same, with what backends still do for processes that died
