End accepting after Close also while clients go on connecting

After Close, Accept goes on for 20 ms; that it had begun to was a variable of one call, so each connection that came in this time began it again. Clients that connect every 20 ms kept the process for as long as they liked, up to SIGKILL.

Change: the set keeps it over the calls of Accept.

Measured: TestAcceptingEndsWhileClientsConnect failed 5 of 5 times before and passed 15 of 15 since. The package passes.

--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -30,7 +30,6 @@
 // Accept implements net.Listener: it returns the next connection that is not rejected. It may close another
 // one for it. After Close it still returns those that the system has let connect by then.
 func (s *connSet) Accept() (net.Conn, error) {
-	final := false // Close was called, and finalAcceptTimeout runs
 	for {
 		accepted, err := s.Listener.Accept()
 		switch {
@@ -39,11 +38,11 @@
 			if resumed {
 				continue
 			}
-			if final || stopped {
+			if s.finalAccepts || stopped {
 				_ = s.Listener.Close() // Accept ends in any case
 				return nil, net.ErrClosed
 			}
-			final = true
+			s.finalAccepts = true
 			s.setAcceptDeadline(time.Now().Add(finalAcceptTimeout))
 		case err != nil:
 			return nil, err
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -48,6 +48,10 @@
 	stopped    chan struct{}       // closed by Close
 	stopOnce   sync.Once
 
+	// finalAccepts: Close was called, and finalAcceptTimeout runs. Of Accept alone, which net/http's one loop calls:
+	// it holds over its calls, or each connection that came in that time would begin it again.
+	finalAccepts bool
+
 	mu          sync.Mutex
 	byState     [numStates]list.List // of *clientConn, the longest in the state first
 	open        int
--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -316,6 +316,31 @@
 	}
 }
 
+// Accepting ends soon after Close also where clients go on connecting. Those that it accepted are answered.
+func TestAcceptingEndsWhileClientsConnect(t *testing.T) {
+	server := startServer(t)
+	go func() { // ends with the test program: nobody closes the channel
+		for ev := range server.events {
+			if ev, ok := ev.(*core.RequestReceived); ok {
+				server.reject(ev.ID)
+			}
+		}
+	}()
+	server.DrainConns()
+	closed := make(chan bool)
+	go func() { server.Close(10 * time.Second); close(closed) }()
+	for end := time.Now().Add(20 * finalAcceptTimeout); time.Now().Before(end); time.Sleep(finalAcceptTimeout / 10) {
+		conn, err := net.Dial("tcp", server.addr)
+		if err != nil {
+			<-closed
+			return
+		}
+		_, _ = io.WriteString(conn, good) // it may be closed: it came after Close
+		_ = conn.Close()                  // what it is answered is not tested here
+	}
+	t.Error("still accepts")
+}
+
 // Shortly before its end a server reads no more of any request. What is complete by then is answered, and
 // what comes later was not read: it is not forwarded, and the close shows that to its client.
 func TestNoReadsShortlyBeforeClose(t *testing.T) {
