Hold customers to their limit of attempts in flight in the soak

Cause: no experiment on processes had a plan with a limit of attempts in flight; the fault of loans that attempts outlive was found by random runs of the quota package alone.

Change: four customers are on a plan of 3 attempts in flight. Three in four of a customer's requests come through one limiter, which has to borrow, and backends work 2.3 s on every second keyed one, longer than a slot is lent. Backends record when each attempt was in flight: from its last byte until its response is written or its connection ends. An end by the connection may count 50 ms earlier than the backend saw it, as what happens on two connections is seen in any order. A customer with more at once than 3 is a breach, with each attempt's begin, request and limiter. Nothing else is excused, crashes included.

The table test shows the check to catch a fourth attempt, also beside one that outlives its loan.

--- a/internal/processharness/backend.go
+++ b/internal/processharness/backend.go
@@ -1,6 +1,7 @@
 package processharness
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -24,9 +25,18 @@
 	delay    time.Duration
 	broken   bool
 	attempts []Attempt
+	flights  []Flight
 	acts     []LeasedAttempt
 }
 
+// Flight is the time in which an attempt was in flight: from its last byte until its response was written or
+// its connection ended.
+type Flight struct {
+	Attempt
+	End    time.Time // zero while it is in flight
+	Closed bool      // its connection ended before its response was written, seen by the backend at End
+}
+
 // LeasedAttempt is an attempt that arrived under a lease.
 type LeasedAttempt struct {
 	At, End time.Time // when it arrived, and when its response was begun
@@ -38,6 +48,7 @@
 	At       time.Time
 	CallID   string
 	Customer string
+	IsKeyed  bool // it has an idempotency key
 }
 
 // listenAttempts is how many addresses newBackend tries.
@@ -91,8 +102,14 @@
 		defer b.recordAct(time.Now(), token)
 	}
 	customer := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
-	delay := b.recordAttempt(Attempt{At: time.Now(), CallID: callID, Customer: customer})
-	if key := r.Header.Get("Idempotency-Key"); key != "" {
+	key := r.Header.Get("Idempotency-Key")
+	attempt := Attempt{At: time.Now(), CallID: callID, Customer: customer, IsKeyed: key != ""}
+	delay := b.recordAttempt(attempt)
+	if work := b.tier.Work; work != nil {
+		delay = max(delay, work(attempt))
+	}
+	defer b.trackFlight(r.Context(), attempt)()
+	if key != "" {
 		b.tier.keys.record(key)
 	}
 	time.Sleep(delay)
@@ -113,6 +130,27 @@
 	return b.delay
 }
 
+// trackFlight records an attempt in flight, and returns the function that ends it unless its connection ends
+// before.
+func (b *Backend) trackFlight(connection context.Context, attempt Attempt) (end func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	number := len(b.flights)
+	b.flights = append(b.flights, Flight{Attempt: attempt})
+	land := func(closed bool) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if flight := &b.flights[number]; flight.End.IsZero() {
+			flight.End, flight.Closed = time.Now(), closed
+		}
+	}
+	stop := context.AfterFunc(connection, func() { land(true) })
+	return func() {
+		stop()
+		land(false)
+	}
+}
+
 // recordAct records an attempt under a lease, whose response is begun now.
 func (b *Backend) recordAct(arrivedAt time.Time, token uint64) {
 	b.mu.Lock()
--- a/internal/processharness/tier.go
+++ b/internal/processharness/tier.go
@@ -30,6 +30,8 @@
 	Sockets           int  // limit of each limiter
 	MemoryMB          int  // limit of each limiter
 	ReportUtilization bool // backends send load reports with their utilization
+	// Work is how long backends work at least on an attempt; nil for no more than their delay.
+	Work func(Attempt) time.Duration
 
 	discovery *discovery
 	keys      keyLog
@@ -95,6 +97,16 @@
 	return visits
 }
 
+// Flights returns when each attempt was in flight, in no order.
+func (tier *Tier) Flights() (flights []Flight) {
+	for _, b := range tier.Backends {
+		b.mu.Lock()
+		flights = append(flights, b.flights...)
+		b.mu.Unlock()
+	}
+	return flights
+}
+
 // RepeatedRuns returns how many times a request with an idempotency key ran again after the window.
 func (tier *Tier) RepeatedRuns() int {
 	tier.keys.mu.Lock()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -63,6 +63,10 @@
 	unlistings []unlisting
 	fresh      resources   // of a process that served nothing
 	idle       []resources // of each process at the end, without requests
+
+	startedAt   time.Time
+	flights     []processharness.Flight // attempts of the customers with a limit of attempts in flight
+	maxInFlight int                     // that limit
 }
 
 // judge returns what broke a rule, a line each.
@@ -86,6 +90,7 @@
 			breach("request %s reached backend %d, which is not listed", a.CallID, a.Backend)
 		}
 	}
+	breaches = append(breaches, o.judgeFlights()...)
 	for number, r := range o.idle {
 		if r.descriptors > o.fresh.descriptors+maxExtraDescriptors {
 			breach("limiter %d: %d descriptors without requests, %d when fresh", number, r.descriptors, o.fresh.descriptors)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -25,6 +25,13 @@
 	slowDelay   = 900 * time.Millisecond
 	// customers is how many customers there are.
 	customers = 40
+	// limitedCustomers are further customers, on a plan with a limit of maxInFlight attempts in flight. One in
+	// limitedShare requests is theirs. Three in four of a customer's come through one limiter, which has to borrow
+	// slots for them.
+	limitedCustomers, limitedShare = 4, 6
+	maxInFlight                    = 3
+	// longWork is how long backends work on every second keyed request of theirs: longer than a slot is lent.
+	longWork = 2300 * time.Millisecond
 	// lossInTrouble and lossOtherwise are the fractions of the messages between limiters that are lost.
 	lossInTrouble = 0.4
 	lossOtherwise = 0.02
@@ -62,8 +69,10 @@
 	Requests int
 	Served   int
 	Restarts int
-	Killed   int      // limiters that SIGKILL ended after SIGTERM
-	Breaches []string // of rules, a line each
+	Killed   int // limiters that SIGKILL ended after SIGTERM
+	// LongAttempts are those on a plan with a limit of attempts in flight that took longer than a slot is lent.
+	LongAttempts int
+	Breaches     []string // of rules, a line each
 }
 
 // Play plays a run with limiters that a program starts.
@@ -93,7 +102,8 @@
 	tier := processharness.New(host, limiters, backends, program...)
 	tier.Sockets = socketLimit
 	tier.ReportUtilization = true
-	tier.Plans = []processharness.Plan{{Name: "free"}, {Name: "small", Rate: 5, Burst: 24, CeilingRate: 10, CeilingBurst: 48}}
+	tier.Plans = []processharness.Plan{{Name: "free"}, {Name: "small", Rate: 5, Burst: 24, CeilingRate: 10, CeilingBurst: 48}, {Name: limitedPlan, MaxConcurrent: maxInFlight}}
+	tier.Work = workOn
 	for _, b := range tier.Backends {
 		b.Delay(normalDelay)
 	}
@@ -118,6 +128,9 @@
 			Limiter: n % limiters, Class: classes[n/limiters%len(classes)], Plan: []string{"free", "small"}[n/2%2],
 			Customer: uint64(1 + n%customers), SetSize: limiters,
 		}
+		if n%limitedShare == 0 {
+			limitRequest(n/limitedShare, &request, classes)
+		}
 		if request.Class == processharness.ClassKeyed {
 			request.Key, request.Body = fmt.Sprintf("%032x", n), n%3*1000
 		}
@@ -127,6 +140,38 @@
 	return load
 }
 
+// limitedPlan is the plan of the customers with a limit of attempts in flight.
+const limitedPlan = "slots"
+
+// limitRequest makes a request one of a customer with a limit of attempts in flight; n counts these requests.
+func limitRequest(n int, request *processharness.Request, classes []string) {
+	index, turn := n%limitedCustomers, n/limitedCustomers
+	request.Plan, request.Customer = limitedPlan, uint64(customers+1+index)
+	request.Class = classes[turn%len(classes)]
+	request.Limiter = index % limiters
+	if turn%4 == 0 {
+		request.Limiter = (index + 1 + turn/4%(limiters-1)) % limiters
+	}
+}
+
+// isLimited reports whether an attempt is of a customer with a limit of attempts in flight.
+func isLimited(a processharness.Attempt) bool {
+	number, err := strconv.ParseUint(a.Customer, 16, 64)
+	return err == nil && number > customers
+}
+
+// workOn returns how long backends work at least on an attempt.
+func workOn(a processharness.Attempt) time.Duration {
+	if !a.IsKeyed || !isLimited(a) {
+		return 0
+	}
+	number, err := strconv.ParseUint(a.CallID[len(a.CallID)/2:], 16, 64) // of the request
+	if err != nil || number/limitedShare/limitedCustomers/3%2 > 0 {
+		return 0
+	}
+	return longWork
+}
+
 // play plays a step to its end.
 func (r *run) play(step Step) {
 	switch step.Action {
@@ -278,10 +323,18 @@
 	o.attempts, _ = r.tier.Attempts()
 	o.arrivals = r.tier.Visits()
 	o.keysTwice = r.tier.RepeatedRuns()
+	o.startedAt, o.maxInFlight = r.startedAt, maxInFlight
+	for _, f := range r.tier.Flights() {
+		if isLimited(f.Attempt) {
+			o.flights = append(o.flights, f)
+		}
+	}
 	for _, p := range r.processes {
 		o.idle = append(o.idle, resourcesOf(p))
 	}
-	result := Result{Requests: len(o.results), Restarts: len(o.outages), Breaches: o.judge()}
+	result := Result{
+		Requests: len(o.results), Restarts: len(o.outages), LongAttempts: o.longFlights(), Breaches: o.judge(),
+	}
 	for _, answered := range o.results {
 		if answered.Status == http.StatusOK {
 			result.Served++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// flight returns an attempt of one customer that was in flight between two times.
+func flight(id string, from, to int) processharness.Flight {
+	return processharness.Flight{Attempt: processharness.Attempt{At: at(from), CallID: id, Customer: "29"}, End: at(to)}
+}
+
 // undisturbed returns what is observed of a run with a shutdown of limiter 0 from 5 to 7 s, a crash of limiter 1
 // at 10 s and backend 2 unlisted from 20 to 40 s, in which no rule is broken.
 func undisturbed() *observations {
@@ -56,8 +61,13 @@
 			{limiter: 1, from: at(10000), to: at(10500), crash: true, readyIn: 50 * time.Millisecond},
 		},
 		unlistings: []unlisting{{backend: 2, from: at(20000), to: at(40000)}},
-		fresh:      resources{descriptors: 20, memoryKB: 20000},
-		idle:       []resources{{descriptors: 25, memoryKB: 24000}},
+		startedAt:  began,
+		flights: []processharness.Flight{
+			flight("a", 1000, 3500), flight("b", 1200, 1300), flight("c", 1300, 1400), flight("d", 1400, 1500),
+		},
+		maxInFlight: 2,
+		fresh:       resources{descriptors: 20, memoryKB: 20000},
+		idle:        []resources{{descriptors: 25, memoryKB: 24000}},
 	}
 }
 
@@ -102,6 +112,29 @@
 		}, "when SIGKILL came"},
 		{"slow start", func(o *observations) { o.outages[1].readyIn = 11 * time.Second }, "ready 11s"},
 		{"attempt at an unlisted backend", func(o *observations) { o.arrivals[0].At = at(27000) }, "not listed"},
+		{"more attempts in flight than the plan allows", func(o *observations) {
+			o.flights = append(o.flights, flight("e", 1499, 1501))
+		}, "customer 29: 3 attempts in flight at once, 2 allowed"},
+		{"one more that outlives its loan", func(o *observations) {
+			o.flights = append(o.flights, flight("e", 3300, 3400), flight("f", 3350, 3450))
+		}, "3.350 s: request f at limiter 0"},
+		{"one more beside an attempt that is never over", func(o *observations) {
+			o.flights[0].End = time.Time{}
+			o.flights = append(o.flights, flight("e", 9300, 9400), flight("f", 9350, 9450))
+		}, "3 attempts in flight at once"},
+		{"one more, of another customer", func(o *observations) {
+			other := flight("e", 1450, 1460)
+			other.Customer = "2a"
+			o.flights = append(o.flights, other)
+		}, ""},
+		{"one more as the connection of another one was just closed", func(o *observations) {
+			o.flights[3].Closed = true
+			o.flights = append(o.flights, flight("e", 1460, 1600))
+		}, ""},
+		{"one more long before the connection of another one was closed", func(o *observations) {
+			o.flights[3].Closed = true
+			o.flights = append(o.flights, flight("e", 1440, 1600))
+		}, "3 attempts in flight at once"},
 		{"descriptors left", func(o *observations) { o.idle[0].descriptors = 20 + maxExtraDescriptors + 1 }, "descriptors"},
 		{"memory left", func(o *observations) { o.idle[0].memoryKB = 20000 + maxExtraMemoryKB + 1 }, "KB without requests"},
 	} {
