Play clients that leave, end their sending or pipeline in the soak

Cause: the soak's clients sent one request at a time and waited for each response.

Change: of 25 clients one closes its connection while it waits (for up to 40 ms, 1.2 s on the plan with slots), one ends its sending behind its request, one sends two requests at once. By the operators' terms a client that closed has gone: no response is due, but its request may reach no backend more than 0.5 s later, and may not run twice where it may not be repeated. A limiter may not end a connection without a whole answer, so a client that ended its sending gets one response, in its time. Of two requests at once each gets its own response, in order; the time of the second counts from the first response. Where the connection is closed between the two, the second goes on a new one, as a request whose close crosses it. A read that times out after 5 s is no longer taken for a close and sent again: that hid a request without a response.

The table test shows each check to catch its fault; TestLeavingAndHalfClosingClients and TestPipeliningClient hold the clients.

--- a/internal/processharness/clientconn.go
+++ b/internal/processharness/clientconn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,6 +32,21 @@
 	return &clientConn{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
+// write writes a text of requests, and returns when its last byte was written. The responses are due within
+// requestTimeout.
+func (c *clientConn) write(text string) (at time.Time, err error) {
+	c.setDeadline(time.Now().Add(requestTimeout))
+	if _, err := io.WriteString(c, text); err != nil {
+		return time.Now(), fmt.Errorf("write: %w", err)
+	}
+	return time.Now(), nil
+}
+
+// endSending ends the sending side of the connection.
+func (c *clientConn) endSending() {
+	_ = c.Conn.(*net.TCPConn).CloseWrite() // a closed connection shows at the read
+}
+
 // readResponse reads a response and its body.
 func (c *clientConn) readResponse() (*http.Response, string, error) {
 	resp, err := http.ReadResponse(c.reader, nil)
--- a/internal/processharness/load.go
+++ b/internal/processharness/load.go
@@ -1,9 +1,10 @@
 package processharness
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -49,8 +50,21 @@
 	SetSize      int    // limiters in the customer's set, 0 for one
 	Body         int    // bytes
 	Units        int    // 0 for one
+	Manner       Manner
+	LeaveAfter   time.Duration // see Leaving
 }
 
+// Manner is how the client of a request uses its connection.
+type Manner int
+
+// The manners.
+const (
+	Usual       Manner = iota
+	Leaving            // closes the connection after LeaveAfter, if the response has not come by then
+	HalfClosing        // ends its sending behind the request
+	Pipelining         // sends a second request, like the first, right behind it
+)
+
 // Result is what came of a request.
 type Result struct {
 	Request
@@ -60,6 +74,9 @@
 	Status int    // 0 without a complete response
 	Fault  string // what happened to the connection, "" for nothing
 	Body   string
+	Left   time.Time // when the client closed the connection; zero if it did not leave
+
+	timedOut bool // the client waited no longer
 }
 
 // StartLoad sends requests until End, at a rate per second. makeRequest makes the request of each number.
@@ -101,7 +118,7 @@
 			case <-time.After(wait):
 			}
 		}
-		l.running.Go(func() { l.record(l.sendNumber(n)) })
+		l.running.Go(func() { l.sendNumber(n) })
 	}
 }
 
@@ -141,51 +158,123 @@
 	return l.Results
 }
 
-// sendNumber sends the request of a number, once more if it is to be resent.
-func (l *Load) sendNumber(n int) Result {
+// sendNumber sends the request of a number, and records what came of it.
+func (l *Load) sendNumber(n int) {
 	request := l.makeRequest(n)
 	id := fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, n)
 	conn, kept, err := l.connection(request.Limiter)
 	if err != nil {
-		return Result{Request: request, ID: id, At: time.Now(), Fault: "connect: " + err.Error()}
+		l.record(Result{Request: request, ID: id, At: time.Now(), Fault: "connect: " + err.Error()})
+		return
+	}
+	if request.Manner == Pipelining {
+		l.sendPair(request, id, conn, kept)
+		return
 	}
 	result, closed := l.send(request, id, conn)
-	if !closed || !kept || !l.countResend() {
-		return result
+	l.finish(result, closed && kept)
+}
+
+// finish records a result. If the connection was closed over its request, that is sent again if it is to be
+// resent.
+func (l *Load) finish(result Result, closed bool) {
+	if closed && l.countResend() {
+		if conn, err := l.connect(result.Limiter); err == nil {
+			result, _ = l.send(result.Request, result.ID, conn)
+		}
 	}
-	conn, err = l.connect(request.Limiter)
+	l.record(result)
+}
+
+// sendPair sends a request and a second one like it at once. The time of the second one counts from the response
+// to the first. A limiter may close the connection between the two.
+func (l *Load) sendPair(first Request, id string, conn *clientConn, kept bool) {
+	second, secondID := first, id[:8]+"f"+id[9:] // numbers of requests are smaller
+	if first.Key != "" {
+		second.Key = "f" + first.Key[1:]
+	}
+	at, err := conn.write(requestText(first, id) + requestText(second, secondID))
 	if err != nil {
-		return result
+		l.finish(Result{Request: first, ID: id, At: at, Fault: err.Error()}, kept)
+		l.finish(Result{Request: second, ID: secondID, At: at, Fault: err.Error()}, kept)
+		return
+	}
+	result, state := receive(Result{Request: first, ID: id, At: at}, conn)
+	l.finish(result, state == connUnanswered && kept)
+	isBetween := result.Status > 0 // the connection may be closed now
+	if isBetween {
+		at = result.At.Add(result.Took)
+		conn.setDeadline(time.Now().Add(requestTimeout))
 	}
-	result, _ = l.send(request, id, conn)
-	return result
+	result, state = receive(Result{Request: second, ID: secondID, At: at}, conn)
+	l.release(first.Limiter, conn, state)
+	l.finish(result, state == connUnanswered && (isBetween || kept))
 }
 
 // send sends a request on a connection. closed reports that this was closed without a byte of a response.
 func (l *Load) send(request Request, id string, conn *clientConn) (result Result, closed bool) {
-	result = Result{Request: request, ID: id, At: time.Now()}
-	conn.setDeadline(time.Now().Add(requestTimeout))
-	if _, err := io.WriteString(conn, requestText(request, id)); err != nil {
-		result.Fault = "write: " + err.Error()
+	at, err := conn.write(requestText(request, id))
+	if err != nil {
+		conn.close()
+		return Result{Request: request, ID: id, At: at, Fault: err.Error()}, true
+	}
+	switch request.Manner {
+	case Leaving:
+		conn.setDeadline(at.Add(request.LeaveAfter))
+	case HalfClosing:
+		conn.endSending()
+	}
+	result, state := receive(Result{Request: request, ID: id, At: at}, conn)
+	if request.Manner == Usual {
+		l.release(request.Limiter, conn, state)
+	} else {
 		conn.close()
-		return result, true
 	}
-	result.At = time.Now()
+	if request.Manner == Leaving && result.timedOut {
+		result.Left = time.Now()
+	}
+	return result, state == connUnanswered
+}
+
+// connState is what a connection is good for after a response.
+type connState int
+
+const (
+	connUnanswered connState = iota // it was closed without a byte of the response
+	connEnded
+	connOpen
+)
+
+// receive completes a result by the response that comes next on a connection.
+func receive(result Result, conn *clientConn) (Result, connState) {
 	_, firstByteErr := conn.reader.Peek(1)
 	resp, body, err := conn.readResponse()
 	result.Took = time.Since(result.At)
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		result.Fault, result.timedOut = "read: "+err.Error(), true
+		return result, connEnded
+	case err != nil:
 		result.Fault = "read: " + err.Error()
-		conn.close()
-		return result, firstByteErr != nil
+		if firstByteErr != nil {
+			return result, connUnanswered
+		}
+		return result, connEnded
 	}
 	result.Status, result.Body = resp.StatusCode, body
 	if resp.Close {
-		conn.close()
-	} else {
-		l.keep(request.Limiter, conn)
+		return result, connEnded
+	}
+	return result, connOpen
+}
+
+// release keeps a connection that may be used again, and closes any other.
+func (l *Load) release(limiter int, conn *clientConn, state connState) {
+	if state == connOpen {
+		l.keep(limiter, conn)
+		return
 	}
-	return result, false
+	conn.close()
 }
 
 // BudgetOf is how long the client of a request waits for the response, as it tells the limiter.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -18,6 +18,8 @@
 	killAfter = longestDeadline + unreadAfter
 	// deadlineSlack is how long after its deadline a response may come.
 	deadlineSlack = 500 * time.Millisecond
+	// leaveSlack is how long after its client left a request may still reach a backend.
+	leaveSlack = deadlineSlack
 	// readyWithin is how long a limiter may take to be ready.
 	readyWithin = 10 * time.Second
 	// unlistedWithin is how long after a change of the list a limiter counts as told of it at the latest.
@@ -64,6 +66,7 @@
 	fresh      resources   // of a process that served nothing
 	idle       []resources // of each process at the end, without requests
 
+	lastArrival map[string]time.Time // by request, at backends; by judge
 	startedAt   time.Time
 	flights     []processharness.Flight // attempts of the customers with a limit of attempts in flight
 	maxInFlight int                     // that limit
@@ -72,6 +75,12 @@
 // judge returns what broke a rule, a line each.
 func (o *observations) judge() (breaches []string) {
 	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
+	o.lastArrival = map[string]time.Time{}
+	for _, a := range o.arrivals {
+		if a.At.After(o.lastArrival[a.CallID]) {
+			o.lastArrival[a.CallID] = a.At
+		}
+	}
 	for _, r := range o.results {
 		if fault := o.faultOf(r); fault != "" {
 			breach("request %s of class %s at limiter %d: %s", r.ID, r.Class, r.Limiter, fault)
@@ -109,6 +118,10 @@
 	switch {
 	case r.Class == processharness.ClassNonIdempotent && o.attempts[r.ID] > 1 && !crashed:
 		return fmt.Sprintf("may not be repeated, and reached backends %d times", o.attempts[r.ID])
+	case !r.Left.IsZero(): // it was owed a response no more
+		if after := o.lastArrival[r.ID].Sub(r.Left); after > leaveSlack {
+			return fmt.Sprintf("reached a backend %v after its client had left", after)
+		}
 	case r.Status == 0:
 		return o.faultOfUnanswered(r)
 	case r.Took > deadline && !crashed:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,12 @@
 	maxInFlight                    = 3
 	// longWork is how long backends work on every second keyed request of theirs: longer than a slot is lent.
 	longWork = 2300 * time.Millisecond
+	// One in mannerShare clients leaves before its response, one ends its sending behind its request, and one sends
+	// two requests at once. Who leaves waits for less than longestWait, on a plan with a limit of attempts in flight
+	// longWaitFactor times that.
+	mannerShare    = 25
+	longestWait    = 40 * time.Millisecond
+	longWaitFactor = 30
 	// lossInTrouble and lossOtherwise are the fractions of the messages between limiters that are lost.
 	lossInTrouble = 0.4
 	lossOtherwise = 0.02
@@ -70,6 +76,7 @@
 	Served   int
 	Restarts int
 	Killed   int // limiters that SIGKILL ended after SIGTERM
+	Left     int // clients that did not wait for their response
 	// LongAttempts are those on a plan with a limit of attempts in flight that took longer than a slot is lent.
 	LongAttempts int
 	Breaches     []string // of rules, a line each
@@ -131,6 +138,7 @@
 		if n%limitedShare == 0 {
 			limitRequest(n/limitedShare, &request, classes)
 		}
+		chooseManner(n, &request)
 		if request.Class == processharness.ClassKeyed {
 			request.Key, request.Body = fmt.Sprintf("%032x", n), n%3*1000
 		}
@@ -140,6 +148,23 @@
 	return load
 }
 
+// chooseManner sets how the client of the request of a number uses its connection.
+func chooseManner(n int, request *processharness.Request) {
+	const steps = 8 // of the time for which a client waits
+	switch n % mannerShare {
+	case 1:
+		request.Manner = processharness.Leaving
+		request.LeaveAfter = longestWait * time.Duration(n/mannerShare%steps) / steps
+		if request.Plan == limitedPlan {
+			request.LeaveAfter *= longWaitFactor
+		}
+	case 2:
+		request.Manner = processharness.HalfClosing
+	case 3:
+		request.Manner = processharness.Pipelining
+	}
+}
+
 // limitedPlan is the plan of the customers with a limit of attempts in flight.
 const limitedPlan = "slots"
 
@@ -336,6 +361,9 @@
 		Requests: len(o.results), Restarts: len(o.outages), LongAttempts: o.longFlights(), Breaches: o.judge(),
 	}
 	for _, answered := range o.results {
+		if !answered.Left.IsZero() {
+			result.Left++
+		}
 		if answered.Status == http.StatusOK {
 			result.Served++
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,7 @@
 	return &observations{
 		results:  []processharness.Result{servedAt(0)},
 		attempts: map[string]int{"a": 1},
-		arrivals: []processharness.Visit{{Attempt: processharness.Attempt{At: at(21000), CallID: "a"}, Backend: 2}},
+		arrivals: []processharness.Visit{{Attempt: processharness.Attempt{At: at(21000), CallID: "z"}, Backend: 2}},
 		outages: []outage{
 			{limiter: 0, from: at(5000), to: at(7000), took: time.Second, readyIn: 50 * time.Millisecond},
 			{limiter: 1, from: at(10000), to: at(10500), crash: true, readyIn: 50 * time.Millisecond},
@@ -135,6 +135,27 @@
 			o.flights[3].Closed = true
 			o.flights = append(o.flights, flight("e", 1440, 1600))
 		}, "3 attempts in flight at once"},
+		{"no response, its client had left", func(o *observations) {
+			o.results[0].Status, o.results[0].Left = 0, at(20)
+		}, ""},
+		{"sent to a backend just as its client leaves", func(o *observations) {
+			o.results[0].Status, o.results[0].Left = 0, at(20)
+			o.arrivals[0].CallID, o.arrivals[0].At = "a", at(20).Add(leaveSlack)
+		}, ""},
+		{"sent to a backend though its client had left", func(o *observations) {
+			o.results[0].Status, o.results[0].Left = 0, at(20)
+			o.arrivals[0].CallID, o.arrivals[0].At = "a", at(21).Add(leaveSlack)
+		}, "after its client had left"},
+		{"repeated for a client that left, though it may not be", func(o *observations) {
+			o.results[0].Status, o.results[0].Left, o.results[0].Class = 0, at(20), processharness.ClassNonIdempotent
+			o.attempts["a"] = 2
+		}, "may not be repeated"},
+		{"no response to a client that ended its sending", func(o *observations) {
+			o.results[0].Manner, o.results[0].Status, o.results[0].Fault = processharness.HalfClosing, 0, "read: EOF"
+		}, "no response after"},
+		{"response to the other one of two requests sent at once", func(o *observations) {
+			o.results[0].Manner, o.results[0].Body = processharness.Pipelining, "f 0"
+		}, "served with"},
 		{"descriptors left", func(o *observations) { o.idle[0].descriptors = 20 + maxExtraDescriptors + 1 }, "descriptors"},
 		{"memory left", func(o *observations) { o.idle[0].memoryKB = 20000 + maxExtraMemoryKB + 1 }, "KB without requests"},
 	} {
