Play hot restarts in the soak, with successors that die at any time

Cause: the soak replaced processes by SIGTERM and SIGKILL alone; hot restarts were played by tests only.

Change: limiters have hot restarts on, with 300 ms until a silent process counts as dead, as in the tests: twice the longest suspension of a schedule. New steps are hot restarts, successors that are killed up to 120 ms after their start, up to 0.6 s into their probation, or as soon as it has ended. In a hot restart every request has to be answered and no connection may be refused; the predecessor ends with 0 before SIGKILL would come. Where a successor is killed, requests may be lost only if its log shows that it admitted; then the predecessor serves again within 10 s. A successor that ends by itself is a breach.

The table test shows that each new check catches its fault.

--- a/cmd/lemongate-experiment/soak.go
+++ b/cmd/lemongate-experiment/soak.go
@@ -73,8 +73,8 @@
 	inner := h.within()
 	defer inner.end()
 	result := soak.Play(inner, seed, duration, program, "serve", "--log-level", "info")
-	printf(out, "seed %d: %d requests, %d served, %d restarts, %d killed while they shut down, %d clients left, %d long attempts, %d rules broken\n",
-		seed, result.Requests, result.Served, result.Restarts, result.Killed, result.Left, result.LongAttempts, len(result.Breaches))
+	printf(out, "seed %d: %d requests, %d served, %d restarts (%d hot), %d killed while they shut down, %d clients left, %d long attempts, %d rules broken\n",
+		seed, result.Requests, result.Served, result.Restarts, result.Hot, result.Killed, result.Left, result.LongAttempts, len(result.Breaches))
 	for _, breach := range result.Breaches[:min(len(result.Breaches), breachesShown)] {
 		printf(out, "  %s\n", breach)
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -33,11 +33,13 @@
 	maxExtraMemoryKB = 24 << 10
 )
 
-// An outage is a time in which a limiter is down or shuts down.
+// An outage is a time in which a limiter is down or shuts down, or in which one of its two processes is ended.
 type outage struct {
 	limiter  int
 	from, to time.Time     // from the signal until the next process is ready
 	crash    bool          // SIGKILL without SIGTERM before
+	hot      bool          // a hot restart: another process of the limiter serves
+	failure  string        // what went wrong with a hot restart, "" for nothing
 	took     time.Duration // from SIGTERM to the end of the process
 	exit     error
 	killed   bool          // by SIGKILL after SIGTERM
@@ -140,7 +142,7 @@
 		return ""
 	}
 	for _, out := range o.outages {
-		if out.limiter != r.Limiter || r.At.Add(r.Took).Before(out.from) || r.At.After(out.to) {
+		if out.hot || out.limiter != r.Limiter || r.At.Add(r.Took).Before(out.from) || r.At.After(out.to) {
 			continue
 		}
 		isRefused := strings.HasPrefix(r.Fault, "connect:")
@@ -169,6 +171,8 @@
 // fault returns what is wrong with a shutdown or start, "" for nothing.
 func (out *outage) fault() string {
 	switch {
+	case out.failure != "":
+		return out.failure + out.logText()
 	case out.killed:
 		return fmt.Sprintf("still there %v after SIGTERM, suspended for %v of it, when SIGKILL came%s",
 			out.took, out.heldUp, out.logText())
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -41,6 +43,9 @@
 	// lossInTrouble and lossOtherwise are the fractions of the messages between limiters that are lost.
 	lossInTrouble = 0.4
 	lossOtherwise = 0.02
+	// operatorFile is the operators' file of each limiter. A successor counts as dead after twice the longest time
+	// for which the schedule suspends a process.
+	operatorFile = `{"takeover":{"on":true,"silence_ms":300}}`
 	// overdueAfter is how long after SIGTERM a process that is still there is asked to log its counters.
 	overdueAfter = killAfter - 150*time.Millisecond
 	// logLines is how many lines of the log of a process are shown that did not end as it should.
@@ -74,7 +79,8 @@
 type Result struct {
 	Requests int
 	Served   int
-	Restarts int
+	Restarts int // of all kinds
+	Hot      int // hot restarts, with those that failed as they should
 	Killed   int // limiters that SIGKILL ended after SIGTERM
 	Left     int // clients that did not wait for their response
 	// LongAttempts are those on a plan with a limit of attempts in flight that took longer than a slot is lent.
@@ -106,7 +112,7 @@
 
 // newRun starts the limiters of a run.
 func newRun(host processharness.Host, program []string) *run {
-	tier := processharness.New(host, limiters, backends, program...)
+	tier := processharness.New(host, limiters, backends, append(slices.Clone(program), "--operator", writeOperatorFile(host))...)
 	tier.Sockets = socketLimit
 	tier.ReportUtilization = true
 	tier.Plans = []processharness.Plan{{Name: "free"}, {Name: "small", Rate: 5, Burst: 24, CeilingRate: 10, CeilingBurst: 48}, {Name: limitedPlan, MaxConcurrent: maxInFlight}}
@@ -127,6 +133,15 @@
 	return r
 }
 
+// writeOperatorFile writes an operators' file that has hot restarts on, and returns the path.
+func writeOperatorFile(host processharness.Host) string {
+	path := filepath.Join(host.TempDir(), "operator.json")
+	if err := os.WriteFile(path, []byte(operatorFile), 0o600); err != nil {
+		host.Fatal(err)
+	}
+	return path
+}
+
 // startLoad starts requests of all classes and plans at all limiters.
 func (r *run) startLoad() *processharness.Load {
 	classes := []string{processharness.ClassIdempotent, processharness.ClassKeyed, processharness.ClassNonIdempotent}
@@ -214,6 +229,16 @@
 			r.kill(r.process(step.Target))
 			time.Sleep(step.For)
 		})
+	case HotRestart:
+		r.hotRestart(step)
+	case EndLate:
+		r.hotRestart(step)
+		r.replace(step.Target, func(out *outage) {
+			out.crash = true
+			r.kill(r.process(step.Target))
+		})
+	case EndEarly, EndInTrial:
+		r.failSuccessor(step)
 	case Unlist:
 		r.unlist(step)
 	case SlowBackend:
@@ -266,14 +291,9 @@
 
 // replace ends a process of a limiter and starts the next one, unless that is done already.
 func (r *run) replace(limiter int, end func(*outage)) {
-	r.mu.Lock()
-	if r.busy[limiter] {
-		r.mu.Unlock()
+	if !r.claim(limiter) {
 		return
 	}
-	r.busy[limiter] = true
-	r.mu.Unlock()
-
 	out := outage{limiter: limiter, from: time.Now()}
 	end(&out)
 	startedAt := time.Now()
@@ -281,10 +301,25 @@
 	next.Await(r.tier.Host)
 	out.to = time.Now()
 	out.readyIn = out.to.Sub(startedAt)
+	r.release(next, out)
+}
 
+// claim reserves a limiter for one step that changes its process, and reports whether it was free.
+func (r *run) claim(limiter int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.processes[limiter], r.busy[limiter] = next, false
+	if r.busy[limiter] {
+		return false
+	}
+	r.busy[limiter] = true
+	return true
+}
+
+// release ends a claim, with the process of the limiter from now on and what was observed.
+func (r *run) release(p *processharness.Process, out outage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.processes[out.limiter], r.busy[out.limiter] = p, false
 	r.observed.outages = append(r.observed.outages, out)
 }
 
@@ -372,6 +407,9 @@
 		if out.killed {
 			result.Killed++
 		}
+		if out.hot {
+			result.Hot++
+		}
 	}
 	return result
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -20,12 +20,16 @@
 const (
 	Reload        Action = "SIGHUP"
 	LogCounters   Action = "SIGUSR1"
-	Suspend       Action = "SIGSTOP"       // and SIGCONT after For
-	Terminate     Action = "SIGTERM"       // and SIGKILL after killAfter, then a new process
-	Crash         Action = "SIGKILL"       // and a new process after For
-	Unlist        Action = "unlist"        // a backend, for For
-	SlowBackend   Action = "slow backend"  // for For
-	LoseDatagrams Action = "lose messages" // between limiters, for For
+	Suspend       Action = "SIGSTOP"                        // and SIGCONT after For
+	Terminate     Action = "SIGTERM"                        // and SIGKILL after killAfter, then a new process
+	Crash         Action = "SIGKILL"                        // and a new process after For
+	HotRestart    Action = "hot restart"                    // and SIGTERM to the predecessor, For after the successor admits
+	EndEarly      Action = "successor dies early"           // For after its start
+	EndInTrial    Action = "successor dies in probation"    // For after it admits
+	EndLate       Action = "successor dies after probation" // a hot restart, and SIGKILL For after it
+	Unlist        Action = "unlist"                         // a backend, for For
+	SlowBackend   Action = "slow backend"                   // for For
+	LoseDatagrams Action = "lose messages"                  // between limiters, for For
 )
 
 // A Step is something that is done in a run.
@@ -54,6 +58,10 @@
 	maxSuspend = 150 * time.Millisecond
 	// maxDown is the longest that a limiter stays down after a crash.
 	maxDown = 700 * time.Millisecond
+	// maxEarly is the longest that a successor lives which may die before it admits.
+	maxEarly = 120 * time.Millisecond
+	// maxProbation is the longest that a probation takes, or the time after it until a successor dies.
+	maxProbation = 600 * time.Millisecond
 	// maxTrouble is the longest that a backend is slow, or messages are lost.
 	maxTrouble = 4 * time.Second
 	// maxUnlisted is the longest that a backend is not listed: more than limiters have to learn it.
@@ -72,6 +80,10 @@
 	{Suspend, 4, maxSuspend, limiters},
 	{Terminate, 3, 0, limiters},
 	{Crash, 2, maxDown, limiters},
+	{HotRestart, 2, maxProbation, limiters},
+	{EndEarly, 1, maxEarly, limiters},
+	{EndInTrial, 1, maxProbation, limiters},
+	{EndLate, 1, maxProbation, limiters},
 	{Unlist, 2, maxUnlisted, backends},
 	{SlowBackend, 2, maxTrouble, backends},
 	{LoseDatagrams, 1, maxTrouble, 1},
@@ -100,9 +112,9 @@
 	return steps
 }
 
-// isSignal reports whether an action is a signal to a limiter.
+// isSignal reports whether an action is a signal to a limiter, or a hot restart.
 func isSignal(a Action) bool {
-	return a == Reload || a == LogCounters || a == Suspend || a == Terminate || a == Crash
+	return a != Unlist && a != SlowBackend && a != LoseDatagrams
 }
 
 func drawStep(random *rand.Rand, at time.Duration) Step {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,6 +59,8 @@
 		outages: []outage{
 			{limiter: 0, from: at(5000), to: at(7000), took: time.Second, readyIn: 50 * time.Millisecond},
 			{limiter: 1, from: at(10000), to: at(10500), crash: true, readyIn: 50 * time.Millisecond},
+			{limiter: 0, from: at(12000), to: at(12500), hot: true, took: 500 * time.Millisecond, readyIn: 50 * time.Millisecond},
+			{limiter: 0, from: at(14000), to: at(14200), hot: true, crash: true, readyIn: 200 * time.Millisecond},
 		},
 		unlistings: []unlisting{{backend: 2, from: at(20000), to: at(40000)}},
 		startedAt:  began,
@@ -156,6 +158,28 @@
 		{"response to the other one of two requests sent at once", func(o *observations) {
 			o.results[0].Manner, o.results[0].Body = processharness.Pipelining, "f 0"
 		}, "served with"},
+		{"no response in a hot restart", func(o *observations) {
+			o.results[0].At, o.results[0].Status, o.results[0].Fault = at(12100), 0, "read: EOF"
+			o.attempts["a"] = 0
+		}, "no response after"},
+		{"refused in a hot restart", func(o *observations) {
+			o.results[0].At, o.results[0].Status, o.results[0].Fault = at(12100), 0, "connect: refused"
+		}, "connect: refused"},
+		{"no response as a successor that may have had clients dies", func(o *observations) {
+			o.results[0].At, o.results[0].Status, o.results[0].Fault = at(14000), 0, "read: reset"
+		}, ""},
+		{"no response as a successor dies that had no clients", func(o *observations) {
+			o.results[0].At, o.results[0].Status, o.results[0].Fault = at(14000), 0, "read: reset"
+			o.outages[3].crash = false
+		}, "no response after"},
+		{"exit code of a predecessor", func(o *observations) { o.outages[2].exit = errors.New("exit status 1") }, "exit status 1"},
+		{"predecessor killed", func(o *observations) { o.outages[2].killed = true }, "when SIGKILL came"},
+		{"predecessor serves late after its successor died", func(o *observations) {
+			o.outages[3].readyIn = 11 * time.Second
+		}, "ready 11s"},
+		{"hot restart fails", func(o *observations) {
+			o.outages[2].failure = "its successor ended by itself"
+		}, "ended by itself"},
 		{"descriptors left", func(o *observations) { o.idle[0].descriptors = 20 + maxExtraDescriptors + 1 }, "descriptors"},
 		{"memory left", func(o *observations) { o.idle[0].memoryKB = 20000 + maxExtraMemoryKB + 1 }, "KB without requests"},
 	} {
