Leave no process behind where a run is interrupted as it starts one

Cause: a limiter's process was registered for the end of its host after its start. A host that ended between the two, or before, never killed it: the run goes on for a moment after an interrupt.

Change: the process is registered first, and start and end exclude each other: after the end nothing is started. A host calls at once what is registered after its end.

--- a/cmd/lemongate-experiment/host.go
+++ b/cmd/lemongate-experiment/host.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	cleanup []func()
+	ended   bool // cleanup was called, or is being called
 	failed  bool
 
 	endOnce  sync.Once
@@ -98,11 +99,18 @@
 	return h.failed
 }
 
-// Cleanup registers a function that is called at the end, the last one first.
+// Cleanup registers a function that is called at the end, the last one first. After the end it is called at once:
+// a run that was interrupted may have been starting a process just then.
 func (h *host) Cleanup(f func()) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.cleanup = append(h.cleanup, f)
+	ended := h.ended
+	if !ended {
+		h.cleanup = append(h.cleanup, f)
+	}
+	h.mu.Unlock()
+	if ended {
+		f()
+	}
 }
 
 // TempDir returns a new directory that is removed with the host.
@@ -119,6 +127,7 @@
 func (h *host) end() {
 	h.endOnce.Do(func() {
 		h.mu.Lock()
+		h.ended = true
 		cleanup := h.cleanup
 		h.mu.Unlock()
 		for _, f := range slices.Backward(cleanup) {
--- a/internal/processharness/limiter.go
+++ b/internal/processharness/limiter.go
@@ -116,16 +116,15 @@
 	}
 	p.Cmd = l.command(l.writeConfig(config))
 	p.Cmd.Stdout, p.Cmd.Stderr = p.log, p.log
-	if err := p.Cmd.Start(); err != nil {
-		host.Fatal(err)
-	}
-	go func() { p.Ended <- p.Cmd.Wait() }() // ends with the process
 	host.Cleanup(func() {
-		_ = p.Cmd.Process.Kill() // it may have ended
-		if host.Failed() {
+		if p.end() && host.Failed() {
 			host.Logf("n%d, process %d:\n%s", l.Number, p.Cmd.Process.Pid, p.log)
 		}
 	})
+	if err := p.start(); err != nil {
+		host.Fatal(err)
+	}
+	go func() { p.Ended <- p.Cmd.Wait() }() // ends with the process
 	return p
 }
 
--- a/internal/processharness/process.go
+++ b/internal/processharness/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"os/exec"
 	"strings"
@@ -16,6 +17,34 @@
 	Console string     // address of the administration server
 	Ended   chan error // receives the result of the process once
 	log     *lockedBuffer
+
+	mu   sync.Mutex // of the start of Cmd and what follows
+	over bool       // it is not started any more
+}
+
+// errOver is the error of a start after the end of the host.
+var errOver = errors.New("a process is to be started in a host that has ended")
+
+// start starts the process, unless its host has ended.
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return errOver
+	}
+	return p.Cmd.Start()
+}
+
+// end kills the process, or keeps it from being started. It reports whether it was started.
+func (p *Process) end() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = true
+	if p.Cmd.Process == nil {
+		return false
+	}
+	_ = p.Cmd.Process.Kill() // it may have ended
+	return true
 }
 
 // Signal sends a signal; one to a process that has ended has no effect.
