--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -18,6 +18,8 @@
 	killAfter = longestDeadline + unreadAfter
 	// deadlineSlack is how long after its deadline a response may come.
 	deadlineSlack = 500 * time.Millisecond
+	// leaveSlack is how long after its client left a request may still reach a backend.
+	leaveSlack = deadlineSlack
 	// readyWithin is how long a limiter may take to be ready.
 	readyWithin = 10 * time.Second
 	// unlistedWithin is how long after a change of the list a limiter counts as told of it at the latest.
@@ -31,14 +33,18 @@
 	maxExtraMemoryKB = 24 << 10
 )
 
-// An outage is a time in which a limiter is down or shuts down.
+// An outage is a time in which a limiter is down or shuts down, or in which one of its two processes is ended.
 type outage struct {
 	limiter  int
 	from, to time.Time     // from the signal until the next process is ready
 	crash    bool          // SIGKILL without SIGTERM before
+	hot      bool          // a hot restart: another process of the limiter serves
+	failure  string        // what went wrong with a hot restart, "" for nothing
 	took     time.Duration // from SIGTERM to the end of the process
 	exit     error
 	killed   bool          // by SIGKILL after SIGTERM
+	heldUp   time.Duration // suspended between SIGTERM and the end of the process
+	log      []string      // last lines of a process that did not end as it should
 	readyIn  time.Duration // of the next process
 }
 
@@ -61,11 +67,22 @@
 	unlistings []unlisting
 	fresh      resources   // of a process that served nothing
 	idle       []resources // of each process at the end, without requests
+
+	lastArrival map[string]time.Time // by request, at backends; by judge
+	startedAt   time.Time
+	flights     []processharness.Flight // attempts of the customers with a limit of attempts in flight
+	maxInFlight int                     // that limit
 }
 
 // judge returns what broke a rule, a line each.
 func (o *observations) judge() (breaches []string) {
 	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
+	o.lastArrival = map[string]time.Time{}
+	for _, a := range o.arrivals {
+		if a.At.After(o.lastArrival[a.CallID]) {
+			o.lastArrival[a.CallID] = a.At
+		}
+	}
 	for _, r := range o.results {
 		if fault := o.faultOf(r); fault != "" {
 			breach("request %s of class %s at limiter %d: %s", r.ID, r.Class, r.Limiter, fault)
@@ -84,6 +101,7 @@
 			breach("request %s reached backend %d, which is not listed", a.CallID, a.Backend)
 		}
 	}
+	breaches = append(breaches, o.judgeFlights()...)
 	for number, r := range o.idle {
 		if r.descriptors > o.fresh.descriptors+maxExtraDescriptors {
 			breach("limiter %d: %d descriptors without requests, %d when fresh", number, r.descriptors, o.fresh.descriptors)
@@ -102,6 +120,10 @@
 	switch {
 	case r.Class == processharness.ClassNonIdempotent && o.attempts[r.ID] > 1 && !crashed:
 		return fmt.Sprintf("may not be repeated, and reached backends %d times", o.attempts[r.ID])
+	case !r.Left.IsZero(): // it was owed a response no more
+		if after := o.lastArrival[r.ID].Sub(r.Left); after > leaveSlack {
+			return fmt.Sprintf("reached a backend %v after its client had left", after)
+		}
 	case r.Status == 0:
 		return o.faultOfUnanswered(r)
 	case r.Took > deadline && !crashed:
@@ -120,7 +142,7 @@
 		return ""
 	}
 	for _, out := range o.outages {
-		if out.limiter != r.Limiter || r.At.Add(r.Took).Before(out.from) || r.At.After(out.to) {
+		if out.hot || out.limiter != r.Limiter || r.At.Add(r.Took).Before(out.from) || r.At.After(out.to) {
 			continue
 		}
 		isRefused := strings.HasPrefix(r.Fault, "connect:")
@@ -149,14 +171,28 @@
 // fault returns what is wrong with a shutdown or start, "" for nothing.
 func (out *outage) fault() string {
 	switch {
-	case !out.crash && !out.killed && out.exit != nil:
-		return fmt.Sprintf("ended %v after SIGTERM with %v", out.took, out.exit)
+	case out.failure != "":
+		return out.failure + out.logText()
+	case out.killed:
+		return fmt.Sprintf("still there %v after SIGTERM, suspended for %v of it, when SIGKILL came%s",
+			out.took, out.heldUp, out.logText())
+	case !out.crash && out.exit != nil:
+		return fmt.Sprintf("ended %v after SIGTERM with %v%s", out.took, out.exit, out.logText())
 	case out.readyIn > readyWithin:
 		return fmt.Sprintf("ready %v after its start", out.readyIn)
 	}
 	return ""
 }
 
+// logText returns the last lines of the process's log, each on a line of its own.
+func (out *outage) logText() string {
+	text := ""
+	for _, line := range out.log {
+		text += "\n    " + line
+	}
+	return text
+}
+
 // isUnlisted reports whether a request arrived at a backend that every limiter knows to be gone.
 func (o *observations) isUnlisted(a processharness.Visit) bool {
 	for _, u := range o.unlistings {
