--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -272,8 +272,7 @@
 // holdSlotsOfRetries holds slots for the predecessor's requests whose attempts ended without success before the state
 // was applied, unless they have ended as well.
 func (m *Machine) holdSlotsOfRetries() {
-	for i := range m.hotRestart.awaited {
-		open := &m.hotRestart.awaited[i]
+	for _, open := range m.hotRestart.awaited {
 		m.decide(&admission.AttemptAdopted{Request: open.Request, Attempt: open.Attempt})
 	}
 	for _, id := range m.hotRestart.ended {
