--- a/internal/quota/lending.go
+++ b/internal/quota/lending.go
@@ -18,6 +18,12 @@
 	// after a restart, when it is not known what was lent before.
 	MaxLentFraction = 0.75
 
+	// lenderLoanDuration is how long a loan lasts at the lender: longer than at the borrower by what two
+	// clocks may differ, so that no share is used on both sides. Short by 0.4 ms with both clocks at their bounds.
+	lenderLoanDuration = LoanDuration + time.Duration(float64(LoanDuration)*2*ClockDrift)
+	// grantDeliveryTimeout is the time after which the units of a grant have arrived or never will, by
+	// the lender's clock.
+	grantDeliveryTimeout = transferTimeout + time.Duration(float64(transferTimeout)*2*ClockDrift)
 	// loanRenewalMargin is how long before its end the renewal of a loan is requested, if still needed.
 	loanRenewalMargin = 800 * time.Millisecond
 	// lenderDemandFactor times its demand is the rate that a lender keeps.
@@ -28,15 +34,6 @@
 	minDemandSum = 1e-6
 )
 
-var (
-	// lenderLoanDuration is how long a loan lasts at the lender: longer than at the borrower by what two
-	// clocks may differ, so that no share is used on both sides.
-	lenderLoanDuration = allowForDrift(LoanDuration)
-	// grantDeliveryTimeout is the time after which the units of a grant have arrived or never will, by
-	// the lender's clock.
-	grantDeliveryTimeout = allowForDrift(transferTimeout)
-)
-
 // A loan is a share of the rate and burst of both buckets, and slots. The share is used here until the loan
 // expires. A slot is kept beyond that while its attempt is in flight, see slots.go.
 type loan struct {
