Keep clients of other processes away from the listeners of tests

TestAcceptedDuringClose hung once in Server.Close beside load.

Cause: its listener was on 127.0.0.1, at a port that the kernel chose. The kernel gives ports out anew, and clients of other processes still connect to listeners that had them before. heldListener hands each connection to the test, which waits for one. A second one leaves it in its send, so the accept loop does not end, and http.Server.Close waits for that loop. Who connected when the test hung is not known, as no log named it; shown is that nothing else was needed.

Change: testnet.Listen listens on the loopback IP of the process's own, as ListenApart did, which goes; Open is for tests without testing.TB. What the test checks is as it was. heldListener names a connection for which the test does not wait, after a minute, instead of a hang that names nobody.

--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -114,7 +114,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l := testnet.ListenApart(t) // until the watcher has ended
+			l := testnet.Listen(t) // until the watcher has ended
 			fake := &fakeDiscovery{}
 			silent, done := make(chan net.Conn, 1), make(chan bool)
 			go func() {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -97,7 +97,7 @@
 		}
 	}))
 	_ = d.server.Listener.Close() // on 127.0.0.1, nobody has connected to it
-	d.server.Listener = testnet.ListenApart(t)
+	d.server.Listener = testnet.Listen(t)
 	d.server.Start()
 	t.Cleanup(d.server.Close)
 	return d
--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -373,6 +373,9 @@
 	}
 }
 
+// unexpectedConnTimeout is after how long a connection that a test does not wait for ends the tests.
+const unexpectedConnTimeout = time.Minute
+
 // A heldListener holds each connection that it has accepted until the test releases it.
 type heldListener struct {
 	*net.TCPListener
@@ -381,11 +384,16 @@
 
 func (l *heldListener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
-	if err == nil {
-		l.accepted <- true
-		<-l.release
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case l.accepted <- true:
+	case <-time.After(unexpectedConnTimeout): // else the test hangs, and nothing shows who connected
+		panic(fmt.Sprintf("the test does not wait for a connection from %v", c.RemoteAddr()))
 	}
-	return c, err
+	<-l.release
+	return c, nil
 }
 
 // A connection that the system has returned as the server closes is one like any other: its request is
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -9,24 +9,19 @@
 	"testing"
 )
 
-// Listen returns a TCP listener on a free port, which is closed at the end of the test.
-func Listen(t testing.TB) *net.TCPListener {
-	t.Helper()
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() }) // the test may have closed it
-	return listener
+// Open returns a TCP listener on a free port of a loopback IP that no other process listens on. On 127.0.0.1 the
+// kernel gives out ports anew, and clients of other processes still connect to the listeners that had them before. It
+// is for tests that have no testing.TB, which close the listener themselves.
+func Open() (*net.TCPListener, error) {
+	pid := os.Getpid() // 22 bits at most
+	ip := net.IPv4(127, byte(128+pid>>16&63), byte(pid>>8), byte(pid))
+	return net.ListenTCP("tcp", &net.TCPAddr{IP: ip})
 }
 
-// ListenApart returns a TCP listener on a free port of a loopback IP that no other process listens on. Sockets of
-// other processes that still connect to 127.0.0.1, where the kernel may have given out their port anew, do not reach
-// it. It is closed at the end of the test.
-func ListenApart(t testing.TB) *net.TCPListener {
+// Listen is Open for a listener that is closed at the end of the test.
+func Listen(t testing.TB) *net.TCPListener {
 	t.Helper()
-	pid := os.Getpid() // 22 bits at most
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, byte(128+pid>>16&63), byte(pid>>8), byte(pid))})
+	listener, err := Open()
 	if err != nil {
 		t.Fatal(err)
 	}
