End accepting after Close also where accepting is resumed later

Callers: nothing known, as no order of events leads the program there. In the server for clients alone Close took its whole time and accepted all the while, or never returned: the wait in which TestAcceptedDuringClose hung, past the timeout.

Cause: Close ends accepting by a deadline in the past, which the accept loop has to find. connSet.resume took the deadline away, also that of Close. After the timeout http.Server.Close waits for the accept loop, and net/http closes a listener once, so that nothing wakes the loop again.

The core does not get there: TestListenersStayAsTheyAreAfterClose plays a successor's messages, ends of the link, shutdowns and time in any order.

Change: after Close, resume leaves the deadline as it is.

--- a/internal/httpserver/handover.go
+++ b/internal/httpserver/handover.go
@@ -17,7 +17,7 @@
 	}
 }
 
-// resume goes on accepting, and ends handing over.
+// resume goes on accepting, unless Close was called, and ends handing over.
 func (s *connSet) resume() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -25,7 +25,9 @@
 	if s.resumed == nil {
 		return
 	}
-	s.setAcceptDeadline(time.Time{})
+	if !s.isStopped() { // else Accept needs the deadline of Close to end
+		s.setAcceptDeadline(time.Time{})
+	}
 	close(s.resumed)
 	s.resumed = nil
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -211,7 +211,7 @@
 	s.conns.Load().pause()
 }
 
-// Resume goes on accepting, and ends MoveConns.
+// Resume goes on accepting, unless Close was called, and ends MoveConns.
 func (s *Server) Resume() {
 	<-s.serving
 	s.conns.Load().resume()
--- a/internal/httpserver/shutdown.go
+++ b/internal/httpserver/shutdown.go
@@ -15,6 +15,16 @@
 	return s.Listener.Close()
 }
 
+// isStopped reports whether Close was called.
+func (s *connSet) isStopped() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // drain closes all connections between requests, now and as they become idle. If the next request waits in
 // a socket, that is answered first.
 func (s *connSet) drain() {
