Listen apart in the other tests that hand what connects to their checks

TestRun, TestConnModel, TestAttemptModel and the tests of the load listened on 127.0.0.1, where clients of other processes can reach a port that the kernel gave out anew. Each would take such a connection or request for its own.

Change: they listen by testnet, TestRun and the fake discovery by the new testnet.Serve, which had been written twice. What they check is as it was. Tests in which a connection of somebody else changes nothing stay on 127.0.0.1.

Result: not seen to fail, so this only keeps it out.

--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -76,7 +76,7 @@
 
 func newFakeDiscovery(t *testing.T) *fakeDiscovery {
 	d := &fakeDiscovery{watches: make(chan watch)}
-	d.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d.server = testnet.Serve(t, func(w http.ResponseWriter, r *http.Request) {
 		lines := make(chan string)
 		select {
 		case d.watches <- watch{r.URL.RequestURI(), lines, r.Context().Done()}:
@@ -95,11 +95,7 @@
 				return
 			}
 		}
-	}))
-	_ = d.server.Listener.Close() // on 127.0.0.1, nobody has connected to it
-	d.server.Listener = testnet.Listen(t)
-	d.server.Start()
-	t.Cleanup(d.server.Close)
+	})
 	return d
 }
 
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -19,6 +19,7 @@
 	"lemongate/internal/config"
 	"lemongate/internal/core"
 	"lemongate/internal/settings"
+	"lemongate/internal/testnet"
 )
 
 func testConfig(discovery, backend string) *config.Config {
@@ -44,25 +45,22 @@
 // the requests that it has and ends.
 func TestRun(t *testing.T) {
 	received, proceed := make(chan bool, 1), make(chan bool)
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	backend := testnet.Serve(t, func(w http.ResponseWriter, r *http.Request) {
 		received <- true
 		<-proceed
 		_, _ = io.WriteString(w, "answer to "+r.Header.Get("X-Call-Id")) // the client checks it
-	}))
-	defer backend.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	})
+	discovery := testnet.Serve(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, `{"generation":1,"reset":false,"instances":[]}`+"\n") // the limiter does not start without it
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
-	}))
-	defer discovery.Close()
+	})
 
 	watched, loads := make(chan bool, 1), 0
-	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	next := testnet.Serve(t, func(w http.ResponseWriter, r *http.Request) {
 		watched <- true
 		<-r.Context().Done()
-	}))
-	defer next.Close()
+	})
 
 	observed, lines := observer.New(zapcore.InfoLevel)
 	listening, counted := make(chan string, 1), make(chan bool, 2)
--- a/internal/httpserver/model_test.go
+++ b/internal/httpserver/model_test.go
@@ -16,6 +16,7 @@
 
 	"lemongate/internal/core"
 	"lemongate/internal/rapidtest"
+	"lemongate/internal/testnet"
 	"lemongate/internal/upstream"
 )
 
@@ -221,7 +222,7 @@
 // its own, or its connection ends and the request was never posted.
 func TestConnModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := testnet.Open()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/processharness/load_test.go
+++ b/internal/processharness/load_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"lemongate/internal/testnet"
 )
 
 // serveRequests answers each request with its ID, but with every behaviour of a limiter that a name stands for:
@@ -14,11 +16,7 @@
 // connection, by the errors that ended it.
 func serveRequests(t *testing.T, behaviour string) (addr string, ended <-chan error) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() }) // ends the goroutine
+	listener := testnet.Listen(t) // its close ends the goroutine
 	ends := make(chan error, 10)
 	go func() {
 		for {
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -3,6 +3,8 @@
 
 import (
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"syscall"
@@ -29,6 +31,15 @@
 	return listener
 }
 
+// Serve returns an HTTP server on a listener of Listen. It is closed at the end of the test.
+func Serve(t testing.TB, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	server := &httptest.Server{Listener: Listen(t), Config: &http.Server{Handler: handler}}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
 // Dial returns a connection to an address, which is closed at the end of the test.
 func Dial(t testing.TB, addr string) *net.TCPConn {
 	t.Helper()
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -17,6 +17,7 @@
 	"lemongate/internal/admission"
 	"lemongate/internal/core"
 	"lemongate/internal/rapidtest"
+	"lemongate/internal/testnet"
 )
 
 // TestMain fixes the seed, so that the steps are the same every time; how they interleave is not.
@@ -81,7 +82,7 @@
 // completely; and the response that serves it is its own.
 func TestAttemptModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := testnet.Open()
 		if err != nil {
 			t.Fatal(err)
 		}
