Do not call usage missing that a report after a repeated one has

Cause: a limiter that has not closed a period replies with an empty page to a lease holder that may repeat the report of it, and keeps its usage. Merge took that report for the next one that has the limiter, and did not look at the one after.

Change: reportedLater goes on after a report that may repeat another and has no since for the limiter. If that report had the limiter's own pages, the next one begins after them, so that nothing lost is passed over.

Result: TestUsageKeptOverRepeatedReportIsNotMissing failed before with "120 units, period 2: limiter 0 is missing", and passes. No sum changes.

--- a/internal/usage/summary.go
+++ b/internal/usage/summary.go
@@ -106,13 +106,16 @@
 }
 
 // reportedLater reports whether the usage of a limiter in a period is in the next report that has the
-// limiter.
+// limiter. One that MayRepeat may have an empty page of it, while its usage is kept for a later report.
 func reportedLater(reports []Report, limiter int, period uint32) bool {
 	for _, r := range reports {
 		if slices.Contains(r.Missing, limiter) {
 			continue
 		}
 		since, ok := r.Since[strconv.Itoa(limiter)]
+		if r.MayRepeat && !ok {
+			continue
+		}
 		return ok && since <= period
 	}
 	return false
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -189,6 +189,32 @@
 	}
 }
 
+// A limiter is missing in a report, and in the next one, which may repeat an earlier one, has an empty page:
+// its usage comes with the report after that and is not called missing.
+func TestUsageKeptOverRepeatedReportIsNotMissing(t *testing.T) {
+	r := NewRecorder(1)
+	r.HandleRequest(PageRequest{Period: 1, Token: 1})
+	for i := range 60 { // several pages
+		r.Add(Key{fmt.Sprintf("%016x", i), 0}, 2)
+	}
+	missing := newTestCollector(2, 1, []uint32{1})
+	missing.KnowsAllReports = true
+	reply, _ := r.HandleRequest(PageRequest{Period: 2, ReportedUpTo: 1, Token: 9, KnowsAllReports: true})
+	missing.setMissing(&missing.sources[0]) // the pages after the first are lost
+	repeated := NewCollector(3, 2, []uint32{1}, true, 10, time.Millisecond, 0)
+	repeated.KnowsAllReports = true
+	next := NewCollector(4, 3, []uint32{1}, false, 10, time.Millisecond, 0)
+	next.KnowsAllReports = true
+	var reports []Report
+	for _, c := range []*Collector{missing, repeated, next} {
+		reports = append(reports, collect(t, c, []*Recorder{r}, neverLost))
+	}
+	s := Merge(reports)
+	if len(reply) == 0 || sumOfUnits(Report{Usage: s.Usage}) != 120 || len(s.Faults) > 0 {
+		t.Errorf("%v units, %q", sumOfUnits(Report{Usage: s.Usage}), s.Faults)
+	}
+}
+
 // Usage is not lost where a limiter is missing in a report and the lease then changes hands: the new
 // holder takes every limiter for reported, and a period that was never sent completely is kept all the same.
 func TestUnsentPeriodIsKept(t *testing.T) {
