Let the reader of all reports decide on usage that nobody knows to be reported

Cause: a lease holder knows which limiters a report has only if it wrote that report itself, under the same lease, and if the report surely counts. All holders told limiters all the same, from the payload or from a report that may not count, and a limiter that had sent its pages believed it: it dropped its period, or put it into the next one.

Change: a limiter believes a holder only about a period that this holder collected itself, under the same token, for a report that surely counts. Any other period that it has sent it keeps apart and sends with the next one, as unconfirmed. The report carries that beside its usage, and Merge counts it once if the report of its period that counts does not have the limiter. The set of missing limiters kept by the acceptors was weighed: it says what a report would have, not whether it was written (docs/design/leases.md). A request has one flag more, pages one kind more; limiters of 0.9.3 ignore both, and the collector goes on without after one query.

Why it works: the reports are all that is kept, each says which limiters it has, and one report of a period counts. Sending unconfirmed usage again is safe, so a limiter may keep it until a certain word comes.

--- a/internal/core/collection.go
+++ b/internal/core/collection.go
@@ -245,7 +245,7 @@
 	}
 	c.phase = collectionWriting
 	c.nextAt = m.now + writeStuckLeases*m.config.Leases.Duration
-	m.usage.recorder.MarkSent(c.collector.Period)
+	m.usage.recorder.MarkSent(c.collector)
 	m.reportInheritedUsage()
 	m.emit(WriteUsage{Token: c.token, StartBefore: until, Report: m.usageReport()})
 	return 0
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -37,8 +37,11 @@
 
 // source is what has come from one limiter.
 type source struct {
-	complete    bool
-	missing     bool
+	complete bool
+	missing  bool
+	// plain means that requests are without TakesUnconfirmed, as the limiter did not reply to the first one:
+	// 0.9.3 does not.
+	plain       bool
 	hasPage     bool // incarnation, firstPeriod and pages are known
 	incarnation uint32
 	firstPeriod uint32
@@ -47,6 +50,14 @@
 	queriedAt   time.Duration // without a reply since; 0 for none
 	unanswered  int           // queries in a row without a reply
 	entries     []Entry
+	unconfirmed []unconfirmedEntries
+}
+
+// unconfirmedEntries is unconfirmed usage of one limiter, up to the end of an earlier period.
+type unconfirmedEntries struct {
+	firstPeriod uint32
+	period      uint32
+	entries     []Entry
 }
 
 // isDone reports whether nothing more is expected of a limiter.
@@ -140,15 +151,17 @@
 // query returns the next query to a limiter.
 func (c *Collector) query(n int, now time.Duration) Query {
 	s := &c.sources[n]
+	s.plain = s.plain || (s.unanswered > 0 && !s.hasPage)
 	s.queriedAt = now
 	s.unanswered++
 	return Query{Limiter(n), PageRequest{
-		Period:          c.Period,
-		Page:            s.nextPage,
-		ReportedUpTo:    c.reportedUpTo[n],
-		Token:           c.Token,
-		KnowsAllReports: c.KnowsAllReports,
-		MayRepeat:       c.MayRepeat,
+		Period:           c.Period,
+		Page:             s.nextPage,
+		ReportedUpTo:     c.reportedUpTo[n],
+		Token:            c.Token,
+		KnowsAllReports:  c.KnowsAllReports,
+		MayRepeat:        c.MayRepeat,
+		TakesUnconfirmed: !s.plain,
 	}}
 }
 
@@ -201,16 +214,39 @@
 	if p.Page != s.nextPage {
 		return
 	}
-	s.hasPage, s.incarnation, s.firstPeriod, s.pages = true, p.Incarnation, p.FirstPeriod, p.Pages
-	s.entries = append(s.entries, unpack(p.Entries)...)
-	s.nextPage++
-	s.unanswered, s.queriedAt = 0, 0
+	s.add(p)
 	if s.nextPage == s.pages {
 		s.complete = true
 		c.incomplete--
 	}
 }
 
+// add adds the next page.
+func (s *source) add(p Page) {
+	s.hasPage, s.incarnation, s.pages = true, p.Incarnation, p.Pages
+	s.nextPage++
+	s.unanswered, s.queriedAt = 0, 0
+	if p.ClosedPeriod > 0 { // a late reply to the first request
+		s.plain = false
+	}
+	if p.isUnconfirmed() {
+		s.addUnconfirmed(p)
+		return
+	}
+	s.firstPeriod = p.FirstPeriod
+	s.entries = append(s.entries, unpack(p.Entries)...)
+}
+
+// addUnconfirmed adds a page of an earlier period, which has the pages before or begins here.
+func (s *source) addUnconfirmed(p Page) {
+	last := len(s.unconfirmed) - 1
+	if last < 0 || s.unconfirmed[last].period != p.ClosedPeriod {
+		s.unconfirmed = append(s.unconfirmed, unconfirmedEntries{firstPeriod: p.FirstPeriod, period: p.ClosedPeriod})
+		last++
+	}
+	s.unconfirmed[last].entries = append(s.unconfirmed[last].entries, unpack(p.Entries)...)
+}
+
 // Report returns the report of what was collected. Plans are the names of plans by their numbers. The
 // caller adds who wrote it, and when.
 func (c *Collector) Report(plans []string) Report {
@@ -224,6 +260,11 @@
 		}
 		c.addFirstPeriod(&r, n, s.firstPeriod)
 		entries = append(entries, s.entries...)
+		for _, u := range s.unconfirmed {
+			r.Unconfirmed = append(r.Unconfirmed, UnconfirmedUsage{
+				Limiter: n, FirstPeriod: u.firstPeriod, Period: u.period, Usage: customerUsage(total(u.entries), plans),
+			})
+		}
 	}
 	r.Usage = customerUsage(total(entries), plans)
 	return r
--- a/internal/usage/message.go
+++ b/internal/usage/message.go
@@ -17,6 +17,9 @@
 	Token           uint64 // fencing token of the lease holder
 	KnowsAllReports bool   // see Collector.KnowsAllReports; a closed period beyond ReportedUpTo becomes part of this one
 	MayRepeat       bool   // see Collector.MayRepeat; a limiter that has not closed the period leaves it open
+	// TakesUnconfirmed means that the lease holder takes unconfirmed usage too. Limiters of 0.9.3 ignore
+	// such a request.
+	TakesUnconfirmed bool `since:"0.9.4"`
 }
 
 // PendingReport is the reply of a limiter that has closed another period, to a lease holder that does
@@ -31,8 +34,15 @@
 	Page        uint16
 	Pages       uint16 // how many there are
 	Entries     []byte // packed
+	// ClosedPeriod is set where the reply has unconfirmed usage: Period on the pages of the period itself,
+	// and on the others, which come after them, the earlier period that their usage was closed with. Those
+	// have the FirstPeriod of that one.
+	ClosedPeriod uint32
 }
 
+// isUnconfirmed reports whether the page has unconfirmed usage, of an earlier period.
+func (p Page) isUnconfirmed() bool { return p.ClosedPeriod > 0 && p.ClosedPeriod != p.Period }
+
 // A datagram, big-endian: magic, its kind, the fields in their order, a checksum. The first byte differs
 // from every version number of the limiters' other messages.
 const (
@@ -40,18 +50,21 @@
 	kindBytes        = 2   // magic and kind
 	pageRequestBytes = 19  // of the fields: 4, 2, 4, 8, and 1 for flags
 	pageHeaderBytes  = 16  // of the fields before Entries: 4, 4, 4, 2 and 2
+	closedBytes      = 4   // of ClosedPeriod, which follows them in a page that has it
 	maxSize          = 256 // of a datagram, in bytes
-	maxPageBytes     = maxSize - kindBytes - pageHeaderBytes - checksum.Size
+	maxPageBytes     = maxSize - kindBytes - pageHeaderBytes - closedBytes - checksum.Size
 
-	flagKnowsAllReports = 1 << 0
-	flagMayRepeat       = 1 << 1
-	allFlags            = flagKnowsAllReports | flagMayRepeat
+	flagKnowsAllReports  = 1 << 0
+	flagMayRepeat        = 1 << 1
+	flagTakesUnconfirmed = 1 << 2
+	allFlags             = flagKnowsAllReports | flagMayRepeat | flagTakesUnconfirmed
 )
 
 const (
 	kindPageRequest byte = iota
 	kindPage
 	kindPendingReport
+	kindPageWithClosedPeriod // from 0.9.4 on
 )
 
 // IsMessage reports whether a datagram is a message of this package.
@@ -75,6 +88,9 @@
 	if p.MayRepeat {
 		flags |= flagMayRepeat
 	}
+	if p.TakesUnconfirmed {
+		flags |= flagTakesUnconfirmed
+	}
 	order := binary.BigEndian
 	data = append(data, magic, kindPageRequest)
 	data = order.AppendUint32(data, p.Period)
@@ -93,12 +109,13 @@
 	}
 	order := binary.BigEndian
 	return PageRequest{
-		Period:          order.Uint32(data),
-		Page:            order.Uint16(data[4:]),
-		ReportedUpTo:    order.Uint32(data[6:]),
-		Token:           order.Uint64(data[10:]),
-		KnowsAllReports: data[18]&flagKnowsAllReports != 0,
-		MayRepeat:       data[18]&flagMayRepeat != 0,
+		Period:           order.Uint32(data),
+		Page:             order.Uint16(data[4:]),
+		ReportedUpTo:     order.Uint32(data[6:]),
+		Token:            order.Uint64(data[10:]),
+		KnowsAllReports:  data[18]&flagKnowsAllReports != 0,
+		MayRepeat:        data[18]&flagMayRepeat != 0,
+		TakesUnconfirmed: data[18]&flagTakesUnconfirmed != 0,
 	}, true
 }
 
@@ -120,31 +137,48 @@
 
 // Append appends the datagram of a page to data, which must be empty.
 func (p Page) Append(data []byte) []byte {
+	kind := kindPage
+	if p.ClosedPeriod > 0 {
+		kind = kindPageWithClosedPeriod
+	}
 	order := binary.BigEndian
-	data = append(data, magic, kindPage)
+	data = append(data, magic, kind)
 	data = order.AppendUint32(data, p.Period)
 	data = order.AppendUint32(data, p.Incarnation)
 	data = order.AppendUint32(data, p.FirstPeriod)
 	data = order.AppendUint16(data, p.Page)
 	data = order.AppendUint16(data, p.Pages)
+	if p.ClosedPeriod > 0 {
+		data = order.AppendUint32(data, p.ClosedPeriod)
+	}
 	data = append(data, p.Entries...)
 	return checksum.Append(data)
 }
 
 // ParsePage reads a datagram, and reports whether it is a Page with complete entries.
 func ParsePage(data []byte) (p Page, ok bool) {
-	data, ok = fields(data, kindPage)
-	if !ok || len(data) < pageHeaderBytes {
+	if body, ok := fields(data, kindPage); ok && len(body) >= pageHeaderBytes {
+		return parsePage(body[:pageHeaderBytes], body[pageHeaderBytes:])
+	}
+	body, ok := fields(data, kindPageWithClosedPeriod)
+	if !ok || len(body) < pageHeaderBytes+closedBytes {
 		return p, false
 	}
+	p, ok = parsePage(body[:pageHeaderBytes], body[pageHeaderBytes+closedBytes:])
+	p.ClosedPeriod = binary.BigEndian.Uint32(body[pageHeaderBytes:])
+	return p, ok && p.ClosedPeriod > 0 && p.ClosedPeriod <= p.Period
+}
+
+// parsePage reads the fields of a page but for ClosedPeriod.
+func parsePage(header, entries []byte) (p Page, ok bool) {
 	order := binary.BigEndian
 	p = Page{
-		Period:      order.Uint32(data),
-		Incarnation: order.Uint32(data[4:]),
-		FirstPeriod: order.Uint32(data[8:]),
-		Page:        order.Uint16(data[12:]),
-		Pages:       order.Uint16(data[14:]),
-		Entries:     data[pageHeaderBytes:],
+		Period:      order.Uint32(header),
+		Incarnation: order.Uint32(header[4:]),
+		FirstPeriod: order.Uint32(header[8:]),
+		Page:        order.Uint16(header[12:]),
+		Pages:       order.Uint16(header[14:]),
+		Entries:     entries,
 	}
 	return p, p.Page < p.Pages && isPacked(p.Entries)
 }
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -30,6 +30,19 @@
 	// after Previous.
 	Since map[string]uint32 `json:"since,omitempty"`
 	Usage []CustomerUsage   `json:"use"`
+	// Unconfirmed is usage of earlier periods beside Usage, whose limiters do not know whether a report has
+	// it. Merge decides whether it counts.
+	Unconfirmed []UnconfirmedUsage `json:"unconfirmed,omitempty" since:"0.9.4"`
+}
+
+// UnconfirmedUsage is the usage of one limiter in the periods from FirstPeriod to Period, which it had sent
+// whole to a lease holder for the report of Period. It did not learn from that lease holder whether the
+// report has it.
+type UnconfirmedUsage struct {
+	Limiter     int             `json:"limiter"`
+	FirstPeriod uint32          `json:"since"` // 0 for all since the limiter's start
+	Period      uint32          `json:"period"`
+	Usage       []CustomerUsage `json:"use"`
 }
 
 // CustomerUsage is the usage of a customer on a plan.
--- a/internal/usage/summary.go
+++ b/internal/usage/summary.go
@@ -13,19 +13,23 @@
 	Reports []Report        // those that count, one for each period, in order
 	Usage   []CustomerUsage // in all of them
 	Faults  []string        // what is missing, in doubt or repeated, a line each
+
+	confirmed []UnconfirmedUsage // of Reports, what counts as no other report has it
 }
 
 // Merge merges the reports of all files. One report of each period counts: one without MayRepeat before one
-// with it, and then that with the least token. A second report without MayRepeat is a fault.
+// with it, and then that with the least token. A second report without MayRepeat is a fault. The unconfirmed
+// usage of a report that counts is added once if no report that counts has it.
 func Merge(reports []Report) Summary {
 	var s Summary
 	s.addReports(reports)
+	s.confirmUsage()
 	for i := range s.Reports {
 		s.checkPrevious(i)
 		s.checkMissing(i)
 		s.checkRestarted(i)
 	}
-	s.Usage = sumUsage(s.Reports)
+	s.Usage = s.sumUsage()
 	return s
 }
 
@@ -88,7 +92,7 @@
 func (s *Summary) checkMissing(index int) {
 	r := s.Reports[index]
 	for _, limiter := range r.Missing {
-		if !reportedLater(s.Reports[index+1:], limiter, r.Period) {
+		if !reportedLater(s.Reports[index+1:], limiter, r.Period) && !s.isConfirmed(limiter, r.Period) {
 			s.fault("period %d: limiter %d is missing", r.Period, limiter)
 		}
 	}
@@ -101,10 +105,15 @@
 	}
 	r := s.Reports[index]
 	for _, limiter := range r.Restarted {
-		s.fault("period %d: limiter %d started anew, what it had not reported before is lost", r.Period, limiter)
+		s.restartFault(r.Period, limiter)
 	}
 }
 
+// restartFault notes a limiter that lost usage as it restarted before a period.
+func (s *Summary) restartFault(period uint32, limiter int) {
+	s.fault("period %d: limiter %d started anew, what it had not reported before is lost", period, limiter)
+}
+
 // reportedLater reports whether the usage of a limiter in a period is in the next report that has the
 // limiter. One that MayRepeat may have an empty page of it, while its usage is kept for a later report.
 func reportedLater(reports []Report, limiter int, period uint32) bool {
@@ -121,15 +130,21 @@
 	return false
 }
 
-// sumUsage adds up the usage in reports, by customer and plan.
-func sumUsage(reports []Report) (list []CustomerUsage) {
+// sumUsage adds up the usage in reports, and what is confirmed, by customer and plan.
+func (s *Summary) sumUsage() (list []CustomerUsage) {
 	type key struct{ customer, plan string }
 	units := map[key]float64{}
-	for _, r := range reports {
-		for _, u := range r.Usage {
+	add := func(usage []CustomerUsage) {
+		for _, u := range usage {
 			units[key{u.Customer, u.Plan}] += u.Units
 		}
 	}
+	for _, r := range s.Reports {
+		add(r.Usage)
+	}
+	for _, u := range s.confirmed {
+		add(u.Usage)
+	}
 	for k, sum := range units {
 		rounded := math.Round(sum*UnitParts) / UnitParts
 		list = append(list, CustomerUsage{Customer: k.customer, Plan: k.plan, Units: rounded})
--- /dev/null
+++ b/internal/usage/unconfirmed_test.go
@@ -0,0 +1,489 @@
+package usage
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// testPeriods plays the lease holders of a task one after another: what they keep in the payload, which
+// datagrams get through, and which reports they write.
+type testPeriods struct {
+	t         *testing.T
+	recorders []*Recorder
+	reports   []Report
+
+	token        uint64
+	holder       Limiter
+	period       uint32 // payload: the last period opened, and the one before
+	previous     uint32
+	mayBeWritten bool // payload: there may be a report of period
+	written      bool // payload: there is one
+	reportedUpTo []uint32
+
+	sent []Query // all queries
+}
+
+func newTestPeriods(t *testing.T, limiters int) *testPeriods {
+	p := &testPeriods{t: t}
+	for n := range limiters {
+		p.recorders = append(p.recorders, NewRecorder(uint32(n+1)))
+	}
+	return p
+}
+
+// changeLease has a limiter win the lease: it knows the payload and nothing else.
+func (p *testPeriods) changeLease(holder Limiter) {
+	p.token++
+	p.holder = holder
+	reported := p.period
+	if !p.written {
+		reported = p.previous
+	}
+	p.reportedUpTo = slices.Repeat([]uint32{reported}, len(p.recorders))
+}
+
+// open begins the next period, or the last one again if it is not known to be written.
+func (p *testPeriods) open() *Collector {
+	knowsAll := p.period > 0
+	if p.period == 0 || p.written {
+		p.previous, p.period = p.period, p.period+1
+		p.written, p.mayBeWritten = false, false
+	}
+	c := NewCollector(p.period, p.previous, p.reportedUpTo, p.mayBeWritten, p.token, time.Millisecond, 0)
+	c.KnowsAllReports = knowsAll
+	return c
+}
+
+// query has the collector query all limiters; lost decides whether a query, or the reply to it, is lost on
+// the way between two limiters.
+func (p *testPeriods) query(c *Collector, lost func(to Limiter, isReply bool) bool) {
+	p.t.Helper()
+	now := time.Second
+	for n := 0; !c.Complete(); n++ {
+		queries, due := c.Tick(now)
+		p.sent = append(p.sent, queries...)
+		for _, q := range queries {
+			if q.To == p.holder {
+				reply, _ := p.recorders[q.To].HandleOwnRequest(q.Request)
+				c.HandleMessage(q.To, reply)
+				continue
+			}
+			if lost(q.To, false) {
+				continue
+			}
+			reply, ok := p.recorders[q.To].HandleRequest(q.Request)
+			if ok && !lost(q.To, true) && !c.HandleMessage(q.To, reply) {
+				p.t.Fatalf("not read: %x", reply)
+			}
+		}
+		now = max(now+time.Millisecond, due)
+		if n > 100_000 {
+			p.t.Fatal("never complete")
+		}
+	}
+}
+
+// claim has the acceptors keep that there may be a report.
+func (p *testPeriods) claim(c *Collector) {
+	p.mayBeWritten = true
+	p.recorders[p.holder].MarkSent(c)
+}
+
+func (p *testPeriods) write(c *Collector) { p.reports = append(p.reports, c.Report([]string{"gold"})) }
+
+// confirm has the acceptors keep that there is a report.
+func (p *testPeriods) confirm(c *Collector) {
+	p.written = true
+	p.reportedUpTo = c.Reported()
+}
+
+// report does all the work on one period.
+func (p *testPeriods) report(lost func(to Limiter, isReply bool) bool) {
+	p.t.Helper()
+	c := p.open()
+	p.query(c, lost)
+	p.claim(c)
+	p.write(c)
+	p.confirm(c)
+}
+
+func nothingLost(Limiter, bool) bool { return false }
+
+// cutOff loses all messages of one limiter.
+func cutOff(limiter Limiter) func(Limiter, bool) bool {
+	return func(to Limiter, _ bool) bool { return to == limiter }
+}
+
+// repliesLost loses the replies of one limiter.
+func repliesLost(limiter Limiter) func(Limiter, bool) bool {
+	return func(to Limiter, isReply bool) bool { return to == limiter && isReply }
+}
+
+// check compares the usage by the reports with what was recorded.
+func (p *testPeriods) check(want float64) Summary {
+	p.t.Helper()
+	s := Merge(p.reports)
+	units := 0.0
+	for _, u := range s.Usage {
+		units += u.Units
+	}
+	if math.Abs(units-want) > 1e-6 {
+		p.t.Errorf("%v units by the reports, %v recorded; %+v", units, want, p.reports)
+	}
+	return s
+}
+
+// A limiter's last page is lost, it is missing in the report, and the lease changes hands: its usage comes
+// with a later report.
+func TestUsageOfLostLastPageIsReported(t *testing.T) {
+	p := newTestPeriods(t, 2)
+	p.changeLease(0)
+	p.report(nothingLost)
+	for _, r := range p.recorders {
+		r.Add(Key{"c", 0}, 21)
+	}
+	p.report(repliesLost(1))
+	p.recorders[1].Add(Key{"c", 0}, 5)
+	p.changeLease(0)
+	p.report(cutOff(1))
+	p.report(nothingLost)
+	if s := p.check(21 + 21 + 5); len(s.Faults) > 0 {
+		t.Errorf("%q", s.Faults)
+	}
+}
+
+// A lease holder has all pages of a limiter and dies before its report is written; the limiter is missing
+// in the report that takes its place, and the lease changes hands once more.
+func TestUsageOfReportNeverWrittenIsReported(t *testing.T) {
+	p := newTestPeriods(t, 2)
+	for _, r := range p.recorders {
+		r.Add(Key{"c", 0}, 136)
+	}
+	p.changeLease(0)
+	c := p.open()
+	p.query(c, nothingLost)
+	p.claim(c)
+	p.changeLease(0)
+	p.report(cutOff(1))
+	p.changeLease(0)
+	p.report(nothingLost)
+	if s := p.check(2 * 136); len(s.Faults) > 0 {
+		t.Errorf("%q", s.Faults)
+	}
+}
+
+// A lease holder writes its report and is cut off before the acceptors know of it; it is missing in the
+// repeated report of the next one, and does not have its usage reported once more.
+func TestUsageMissingInRepeatedReportIsReportedOnce(t *testing.T) {
+	p := newTestPeriods(t, 2)
+	for _, r := range p.recorders {
+		r.Add(Key{"c", 0}, 43)
+	}
+	p.changeLease(0)
+	c := p.open()
+	p.query(c, nothingLost)
+	p.claim(c)
+	p.write(c)
+	p.changeLease(1)
+	p.report(cutOff(0))
+	p.report(nothingLost)
+	if s := p.check(2 * 43); len(s.Faults) > 0 || len(p.reports[2].Unconfirmed) != 2 {
+		t.Errorf("%q, %+v", s.Faults, p.reports)
+	}
+}
+
+// A holder that stays knows what its reports have: no usage is sent as unconfirmed, also where a limiter
+// was missing.
+func TestUsageIsConfirmedUnderOneLease(t *testing.T) {
+	p := newTestPeriods(t, 2)
+	p.changeLease(0)
+	for range 3 {
+		p.recorders[1].Add(Key{"c", 0}, 2)
+		p.report(repliesLost(1))
+		p.recorders[1].Add(Key{"c", 0}, 3)
+		p.report(nothingLost)
+	}
+	p.check(15)
+	for _, r := range p.reports {
+		if len(r.Unconfirmed) > 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
+
+// A limiter keeps unconfirmed usage until a report that counts has it, however often the lease changes
+// hands, and no longer; it keeps no more than it has room for, and the summary says what is missing then.
+func TestUnconfirmedUsageIsBounded(t *testing.T) {
+	p := newTestPeriods(t, 2)
+	p.changeLease(0)
+	p.report(nothingLost)
+	const periods = maxUnconfirmedPeriods + 3
+	for range periods {
+		p.recorders[1].Add(Key{"c", 0}, 1)
+		p.changeLease(0)
+		p.report(repliesLost(1))
+	}
+	if count := len(p.recorders[1].unconfirmed); count != maxUnconfirmedPeriods {
+		t.Errorf("%d periods kept, of at most %d", count, maxUnconfirmedPeriods)
+	}
+	p.changeLease(0)
+	p.report(nothingLost)
+	p.report(nothingLost)
+	if kept := p.recorders[1].unconfirmed; len(kept) > 0 {
+		t.Errorf("kept though reported: %+v", kept)
+	}
+	if s := p.check(maxUnconfirmedPeriods); len(s.Faults) != periods-maxUnconfirmedPeriods {
+		t.Errorf("%q", s.Faults)
+	}
+}
+
+// Unconfirmed usage of many pages goes with the period's own, and only to a lease holder that takes it:
+// one of 0.9.3 gets pages as it knows them, and the usage is kept for a later one.
+func TestUnconfirmedUsageIsKeptForHolderThatTakesIt(t *testing.T) {
+	r := NewRecorder(1)
+	addMany := func(units float64) {
+		for i := range 100 {
+			r.Add(Key{strings.Repeat("n", 40) + fmt.Sprint(i), 0}, units)
+		}
+	}
+	plain := func(request PageRequest) (units float64) {
+		request.KnowsAllReports = true
+		for pages := uint16(1); request.Page < pages; request.Page++ {
+			reply, _ := r.HandleRequest(request)
+			page, ok := ParsePage(reply)
+			if !ok || page.ClosedPeriod != 0 || page.Page != request.Page {
+				t.Fatalf("page %d: %+v, %v", request.Page, page, ok)
+			}
+			for _, e := range unpack(page.Entries) {
+				units += float64(e.Units) / UnitParts
+			}
+			pages = page.Pages
+		}
+		return units
+	}
+	addMany(1)
+	if units := plain(PageRequest{Period: 5, Token: 1}); units != 100 {
+		t.Fatalf("%v units", units)
+	}
+	addMany(2)
+	if units := plain(PageRequest{Period: 6, ReportedUpTo: 5, Token: 2}); units != 200 {
+		t.Errorf("%v units", units)
+	}
+	addMany(3)
+	if units := plain(PageRequest{Period: 7, ReportedUpTo: 6, Token: 2}); units != 300 {
+		t.Errorf("%v units", units)
+	}
+	c := NewCollector(8, 7, []uint32{7}, false, 3, time.Millisecond, 0)
+	c.KnowsAllReports = true
+	report := collect(t, c, []*Recorder{r}, func(n int) bool { return n > 0 && n%5 == 0 })
+	if len(report.Unconfirmed) != 2 || len(report.Usage) != 0 {
+		t.Fatalf("%+v", report)
+	}
+	for i, want := range []struct {
+		period uint32
+		units  float64
+	}{{5, 100}, {7, 300}} {
+		u := report.Unconfirmed[i]
+		if units := sumOfUnits(Report{Usage: u.Usage}); u.Period != want.period || units != want.units {
+			t.Errorf("period %d: %v units, want %d, %v", u.Period, units, want.period, want.units)
+		}
+	}
+}
+
+// A limiter of 0.9.3 does not reply to a request for unconfirmed usage: the next one is as it knows them.
+func TestLimiterThatIgnoresUnconfirmedUsage(t *testing.T) {
+	r := NewRecorder(1)
+	for i := range 60 { // several pages
+		r.Add(Key{fmt.Sprintf("%016x", i), 0}, 2)
+	}
+	c := newTestCollector(5, 0, []uint32{0})
+	ignored := 0
+	now := time.Second
+	for !c.Complete() {
+		queries, due := c.Tick(now)
+		for _, q := range queries {
+			if q.Request.TakesUnconfirmed {
+				ignored++
+				continue
+			}
+			reply, _ := r.HandleRequest(q.Request)
+			c.HandleMessage(q.To, reply)
+		}
+		now = max(now+time.Millisecond, due)
+	}
+	if units := sumOfUnits(c.Report(nil)); units != 120 || ignored != 1 || c.Missing() != 0 {
+		t.Errorf("%v units, %d requests ignored, %d missing", units, ignored, c.Missing())
+	}
+}
+
+// The reply to the first request comes after a second one was sent, which is for limiters of 0.9.3: the
+// collector goes on with the first.
+func TestLateReplyWithUnconfirmedUsage(t *testing.T) {
+	r := NewRecorder(1)
+	r.Add(Key{"c", 0}, 1)
+	r.HandleRequest(PageRequest{Period: 4, Token: 1})
+	r.Add(Key{"c", 0}, 2)
+	c := NewCollector(5, 4, []uint32{4}, false, 2, time.Millisecond, 0)
+	c.KnowsAllReports = true
+	first, due := c.Tick(time.Second)
+	second, _ := c.Tick(due + queryRetryAfter)
+	if len(first) != 1 || len(second) != 1 || second[0].Request.TakesUnconfirmed {
+		t.Fatalf("%+v, %+v", first, second)
+	}
+	reply, _ := r.HandleRequest(first[0].Request)
+	c.HandleMessage(0, reply)
+	report := collect(t, c, []*Recorder{r}, neverLost)
+	if len(report.Unconfirmed) != 1 || sumOfUnits(report) != 2 || report.Missing != nil {
+		t.Errorf("%+v", report)
+	}
+}
+
+// Unconfirmed usage counts once, and not if a report that counts has it.
+func TestMergeUnconfirmed(t *testing.T) {
+	usage := func(units float64) []CustomerUsage { return []CustomerUsage{{"c", "gold", units}} }
+	unconfirmed := func(limiter int, first, period uint32, units float64) UnconfirmedUsage {
+		return UnconfirmedUsage{Limiter: limiter, FirstPeriod: first, Period: period, Usage: usage(units)}
+	}
+	reports := []Report{
+		{Period: 3, Previous: 2, Token: 1, Usage: usage(1), Missing: []int{1, 2, 3}},
+		{Period: 4, Previous: 3, Token: 1, Usage: usage(1), Missing: []int{2, 3}, Since: map[string]uint32{"1": 3}},
+		{Period: 4, Previous: 3, Token: 2, Usage: usage(7), MayRepeat: true, Unconfirmed: []UnconfirmedUsage{
+			unconfirmed(2, 3, 3, 1000), // of a report that does not count
+		}},
+		{Period: 5, Previous: 4, Token: 2, Usage: usage(1), Unconfirmed: []UnconfirmedUsage{
+			unconfirmed(0, 3, 3, 1000), // in the report of its period
+			unconfirmed(1, 3, 3, 1000), // in the next one that has the limiter
+			unconfirmed(2, 3, 4, 10),   // in none
+			unconfirmed(3, 2, 2, 1000), // of a period before all reports
+		}},
+		{Period: 6, Previous: 5, Token: 2, Usage: usage(1), Unconfirmed: []UnconfirmedUsage{
+			unconfirmed(2, 3, 4, 1000), // once more
+			unconfirmed(3, 0, 4, 100),  // in none, of a limiter that started again
+		}},
+	}
+	s := Merge(reports)
+	if s.Usage[0].Units != 4+10+100 {
+		t.Errorf("%v units", s.Usage[0].Units)
+	}
+	want := []string{
+		"period 5: limiter 3 has usage up to period 2, which does not count: the report of that one is not here",
+		"period 4: limiter 3 started anew, what it had not reported before is lost",
+		"period 3: limiter 3 is missing",
+	}
+	if !slices.Equal(s.Faults, want) {
+		t.Errorf("%q", s.Faults)
+	}
+}
+
+// Under random losses, cuts, late requests, lease holders that die at any point and hot restarts of
+// limiters, all that was recorded is reported once.
+func TestUsageIsReportedOnceUnderRandomFaults(t *testing.T) {
+	const seeds = 400
+	for seed := range uint64(seeds) {
+		play := randomPeriods{testPeriods: newTestPeriods(t, 4), random: rand.New(rand.NewPCG(seed, 0))}
+		play.run()
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// randomPeriods are testPeriods with random faults.
+type randomPeriods struct {
+	*testPeriods
+	random   *rand.Rand
+	recorded float64
+}
+
+func (p *randomPeriods) run() {
+	const rounds = 14
+	p.changeLease(0)
+	p.report(nothingLost)
+	for range rounds {
+		p.addUsage()
+		p.restartOne()
+		p.repeatLateRequest()
+		if !p.reportOrDie() {
+			p.changeLease(Limiter(p.random.IntN(len(p.recorders))))
+		}
+	}
+	p.report(nothingLost) // the last one to die left a period
+	p.changeLease(1)
+	p.report(nothingLost)
+	p.report(nothingLost)
+	for _, fault := range p.check(p.recorded).Faults {
+		if strings.Contains(fault, "missing") || strings.Contains(fault, "twice") {
+			p.t.Errorf("%s", fault)
+		}
+	}
+}
+
+func (p *randomPeriods) chance(part float64) bool { return p.random.Float64() < part }
+
+func (p *randomPeriods) addUsage() {
+	for _, r := range p.recorders {
+		for range p.random.IntN(30) {
+			units := float64(1 + p.random.IntN(9))
+			r.Add(Key{fmt.Sprintf("%016x", p.random.IntN(40)), 0}, units)
+			p.recorded += units
+		}
+	}
+}
+
+// restartOne has another process take over from that of a limiter.
+func (p *randomPeriods) restartOne() {
+	if !p.chance(0.2) {
+		return
+	}
+	n := p.random.IntN(len(p.recorders))
+	data, err := json.Marshal(p.recorders[n].State())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var state RecorderState
+	if err := json.Unmarshal(data, &state); err != nil {
+		p.t.Fatal(err)
+	}
+	p.recorders[n] = NewRecorder(uint32(100 + n))
+	p.recorders[n].Restore(&state)
+}
+
+// repeatLateRequest delivers an earlier request once more; the reply finds nobody.
+func (p *randomPeriods) repeatLateRequest() {
+	if len(p.sent) > 0 && p.chance(0.3) {
+		late := p.sent[p.random.IntN(len(p.sent))]
+		p.recorders[late.To].HandleRequest(late.Request)
+	}
+}
+
+// reportOrDie does the work on one period, and reports whether the lease holder lived to its end.
+func (p *randomPeriods) reportOrDie() bool {
+	const steps = 5
+	diesAfter := p.random.IntN(4 * steps)
+	cut := Limiter(p.random.IntN(4 * len(p.recorders)))
+	loss := p.random.Float64() * 0.5
+	c := p.open()
+	if diesAfter == 0 {
+		return false
+	}
+	p.query(c, func(to Limiter, _ bool) bool { return to == cut || p.chance(loss) })
+	if diesAfter == 1 {
+		return false
+	}
+	p.claim(c)
+	if diesAfter == 2 {
+		return false
+	}
+	p.write(c)
+	if diesAfter == 3 {
+		return false
+	}
+	p.confirm(c)
+	return diesAfter != 4
+}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -19,7 +19,13 @@
 	if p, isPage := ParsePage(page); !ok || !isPage || p.Incarnation != 7 || p.Pages != 1 || len(unpack(p.Entries)) != 2 || len(page) > maxSize {
 		f.Fatalf("%+v, %v, %d bytes", p, isPage, len(page))
 	}
-	for _, data := range [][]byte{page, PageRequest{Period: 1 << 31, Page: 7, ReportedUpTo: 1<<31 - 1, Token: 1 << 60, KnowsAllReports: true, MayRepeat: true}.Append(nil), PendingReport{12}.Append(nil)} {
+	for _, data := range [][]byte{
+		page,
+		PageRequest{Period: 1 << 31, Page: 7, ReportedUpTo: 1<<31 - 1, Token: 1 << 60, KnowsAllReports: true, MayRepeat: true}.Append(nil),
+		PageRequest{Period: 3, Token: 9, TakesUnconfirmed: true}.Append(nil),
+		Page{Period: 9, Incarnation: 7, FirstPeriod: 3, Page: 2, Pages: 5, ClosedPeriod: 4, Entries: Entry{Key{"c", 1}, 2}.append(nil)}.Append(nil),
+		PendingReport{12}.Append(nil),
+	} {
 		f.Add(data)
 		for i := range data {
 			changed := slices.Clone(data)
