Confirm written reports to their limiters, so that less usage is sent again

The release is 0.9.4.

TestConfirmedUsageIsNotSentAgain and TestNoConfirmationOfWhatIsNotCertain are new.

--- a/cmd/lemongate/main.go
+++ b/cmd/lemongate/main.go
@@ -17,7 +17,7 @@
 )
 
 // release is the version that the version command prints; CHANGELOG.md says what is in it.
-const release = "0.9.3"
+const release = "0.9.4"
 
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
--- a/internal/core/collection.go
+++ b/internal/core/collection.go
@@ -325,9 +325,23 @@
 	if !m.setUsageStage(periodWritten) {
 		return
 	}
+	m.sendUsageConfirmations()
 	c := &m.usage.collection
 	c.reportedUpTo = c.collector.Reported()
 	c.phase = collectionIdle
 	c.collector = nil
 	c.nextAt = c.startedAt + m.config.UsagePeriod
 }
+
+// sendUsageConfirmations tells the limiters whose usage the report has that it is written.
+func (m *Machine) sendUsageConfirmations() {
+	collector := m.usage.collection.collector
+	confirmation := collector.Confirmation()
+	for _, to := range collector.ToConfirm() {
+		if int(to) == m.config.Settings.Self {
+			m.usage.recorder.HandleConfirmation(confirmation)
+			continue
+		}
+		m.sendToPeer(int(to), confirmation.Append(nil))
+	}
+}
--- a/internal/core/usage.go
+++ b/internal/core/usage.go
@@ -70,9 +70,20 @@
 		m.sendUsagePage(ev.From, request)
 		return
 	}
+	if confirmation, ok := usage.ParseConfirmation(ev.Data); ok {
+		m.counters.PeerMessagesReceived++
+		m.onUsageConfirmation(confirmation)
+		return
+	}
 	m.onUsagePage(ev)
 }
 
+func (m *Machine) onUsageConfirmation(confirmation usage.Confirmation) {
+	if m.usage.recorder != nil {
+		m.usage.recorder.HandleConfirmation(confirmation)
+	}
+}
+
 // sendUsagePage replies to the lease holder.
 func (m *Machine) sendUsagePage(to int, request usage.PageRequest) {
 	if m.usage.recorder == nil {
--- a/internal/usage/closed.go
+++ b/internal/usage/closed.go
@@ -37,6 +37,7 @@
 	mayRepeat bool
 	// withUnconfirmed means that the lease holder has the unconfirmed usage too if it has the period.
 	withUnconfirmed bool
+	reported        bool // a report that counts has the period
 }
 
 // record records that the last page was sent in reply to a request. If an earlier lease holder collected
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -100,6 +100,25 @@
 	return reported
 }
 
+// Confirmation returns what the limiters of ToConfirm are to be told once the report is known to be written.
+func (c *Collector) Confirmation() Confirmation {
+	return Confirmation{Period: c.Period, Token: c.Token}
+}
+
+// ToConfirm returns the limiters whose usage the report has, but for those that may be of 0.9.3 and do not
+// know the message. There are none if the report may not count.
+func (c *Collector) ToConfirm() (list []Limiter) {
+	if c.MayRepeat {
+		return nil
+	}
+	for n := range c.sources {
+		if c.sources[n].complete && !c.sources[n].plain {
+			list = append(list, Limiter(n))
+		}
+	}
+	return list
+}
+
 // Complete reports whether the usage of each limiter is complete, or the limiter is missing.
 func (c *Collector) Complete() bool { return c.incomplete == 0 }
 
--- a/internal/usage/message.go
+++ b/internal/usage/message.go
@@ -26,6 +26,13 @@
 // not know whether there is a report of it.
 type PendingReport struct{ Period uint32 }
 
+// Confirmation tells a limiter, soon after a report was written, that the report has what the limiter sent for
+// its period. There is no reply; if it is lost, the next request says the same.
+type Confirmation struct {
+	Period uint32
+	Token  uint64 // fencing token of the lease holder
+}
+
 // Page is a page of a limiter's usage in a period, in reply to a PageRequest.
 type Page struct {
 	Period      uint32
@@ -51,6 +58,7 @@
 	pageRequestBytes = 19  // of the fields: 4, 2, 4, 8, and 1 for flags
 	pageHeaderBytes  = 16  // of the fields before Entries: 4, 4, 4, 2 and 2
 	closedBytes      = 4   // of ClosedPeriod, which follows them in a page that has it
+	confirmBytes     = 12  // of the fields: 4 and 8
 	maxSize          = 256 // of a datagram, in bytes
 	maxPageBytes     = maxSize - kindBytes - pageHeaderBytes - closedBytes - checksum.Size
 
@@ -65,6 +73,7 @@
 	kindPage
 	kindPendingReport
 	kindPageWithClosedPeriod // from 0.9.4 on
+	kindConfirmation         // from 0.9.4 on
 )
 
 // IsMessage reports whether a datagram is a message of this package.
@@ -135,6 +144,23 @@
 	return PendingReport{Period: binary.BigEndian.Uint32(data)}, true
 }
 
+// Append appends the datagram of a confirmation to data, which must be empty.
+func (c Confirmation) Append(data []byte) []byte {
+	data = append(data, magic, kindConfirmation)
+	data = binary.BigEndian.AppendUint32(data, c.Period)
+	data = binary.BigEndian.AppendUint64(data, c.Token)
+	return checksum.Append(data)
+}
+
+// ParseConfirmation reads a datagram, and reports whether it is a Confirmation.
+func ParseConfirmation(data []byte) (c Confirmation, ok bool) {
+	data, ok = fields(data, kindConfirmation)
+	if !ok || len(data) != confirmBytes {
+		return c, false
+	}
+	return Confirmation{Period: binary.BigEndian.Uint32(data), Token: binary.BigEndian.Uint64(data[4:])}, true
+}
+
 // Append appends the datagram of a page to data, which must be empty.
 func (p Page) Append(data []byte) []byte {
 	kind := kindPage
--- a/internal/usage/recorder.go
+++ b/internal/usage/recorder.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// HandleConfirmation takes the closed period for reported, if the sender knows that for certain. The pages are
+// kept until the next period is closed: if all acceptors lose their memory, they are requested again.
+func (r *Recorder) HandleConfirmation(c Confirmation) {
+	if r.closed != nil && r.closed.Period == c.Period && r.delivery.isKnownTo(c.Token) {
+		r.setReported()
+	}
+}
+
 // handle returns the reply to a request, and whether it is the last page.
 func (r *Recorder) handle(p PageRequest) (reply []byte, complete, ok bool) {
 	if p.Token < r.token { // from a former lease holder
@@ -106,15 +114,16 @@
 	}
 	switch {
 	case r.closed.Period <= p.ReportedUpTo: // a report has it
-		r.dropReported()
-	case r.closed.Period < p.Period: // no report has it
+		r.setReported()
+		r.closed = nil
+	case r.closed.Period < p.Period && !r.delivery.reported: // no report has it
 		r.delivery = delivery{}
 	}
 }
 
-// dropReported forgets what a report has: the closed period, and the unconfirmed usage sent with it.
-func (r *Recorder) dropReported() {
-	r.closed = nil
+// setReported takes the closed period for reported, and forgets the unconfirmed usage sent with it.
+func (r *Recorder) setReported() {
+	r.delivery.reported = true
 	if r.delivery.withUnconfirmed {
 		r.unconfirmed = nil
 	}
@@ -153,7 +162,7 @@
 	}
 	entries := r.openEntries()
 	switch {
-	case r.closed == nil:
+	case r.closed == nil || r.delivery.reported:
 	case r.delivery.sent:
 		r.unconfirmed = r.unconfirmed.add(*r.closed)
 	default:
--- a/internal/usage/recorder_state.go
+++ b/internal/usage/recorder_state.go
@@ -16,6 +16,8 @@
 	Token       uint64        `json:"Token"`
 	Open        []Entry       `json:"Open"`
 	Closed      *closedPeriod `json:"Closed"`
+	// ClosedReported means that a report that counts has Closed.
+	ClosedReported bool `json:"ClosedReported,omitempty" since:"0.9.4"`
 	// Unconfirmed are periods closed before Closed of which this limiter does not know whether a report has
 	// them.
 	Unconfirmed []closedPeriod `json:"Unconfirmed,omitempty" since:"0.9.4"`
@@ -24,7 +26,8 @@
 // State returns what the recorder remembers.
 func (r *Recorder) State() *RecorderState {
 	s := &RecorderState{
-		Incarnation: r.incarnation, Last: r.lastClosed, Token: r.token, Closed: r.closed, Unconfirmed: r.unconfirmed,
+		Incarnation: r.incarnation, Last: r.lastClosed, Token: r.token, Closed: r.closed,
+		ClosedReported: r.delivery.reported, Unconfirmed: r.unconfirmed,
 	}
 	s.Open = total(r.openEntries())
 	r.handedOver = s.Open
@@ -44,7 +47,7 @@
 	}
 	r.incarnation, r.lastClosed, r.token, r.closed = s.Incarnation, s.Last, s.Token, s.Closed
 	r.unconfirmed = s.Unconfirmed
-	r.delivery = delivery{sent: true} // by the other process, as far as is known here
+	r.delivery = delivery{sent: true, reported: s.ClosedReported} // by the other process, as far as is known here
 	for _, e := range s.Open {
 		r.open[e.Key] += e.Units
 	}
--- a/internal/usage/unconfirmed_test.go
+++ b/internal/usage/unconfirmed_test.go
@@ -103,6 +103,15 @@
 	p.reportedUpTo = c.Reported()
 }
 
+// sendConfirmations tells the limiters what the report has.
+func (p *testPeriods) sendConfirmations(c *Collector, lost func(to Limiter, isReply bool) bool) {
+	for _, to := range c.ToConfirm() {
+		if to == p.holder || !lost(to, false) {
+			p.recorders[to].HandleConfirmation(c.Confirmation())
+		}
+	}
+}
+
 // report does all the work on one period.
 func (p *testPeriods) report(lost func(to Limiter, isReply bool) bool) {
 	p.t.Helper()
@@ -111,6 +120,7 @@
 	p.claim(c)
 	p.write(c)
 	p.confirm(c)
+	p.sendConfirmations(c, lost)
 }
 
 func nothingLost(Limiter, bool) bool { return false }
@@ -217,6 +227,63 @@
 	}
 }
 
+// Where the lease changes hands between two periods, usage that was confirmed is not sent again, and that
+// of a limiter which got no confirmation is.
+func TestConfirmedUsageIsNotSentAgain(t *testing.T) {
+	p := newTestPeriods(t, 3)
+	for _, r := range p.recorders {
+		r.Add(Key{"c", 0}, 4)
+	}
+	p.changeLease(0)
+	c := p.open()
+	p.query(c, nothingLost)
+	p.claim(c)
+	p.write(c)
+	p.confirm(c)
+	p.sendConfirmations(c, cutOff(2))
+	p.changeLease(1)
+	p.report(nothingLost)
+	p.check(3 * 4)
+	if u := p.reports[1].Unconfirmed; len(u) != 1 || u[0].Limiter != 2 {
+		t.Errorf("sent again: %+v", u)
+	}
+}
+
+// Limiters that may be of 0.9.3 get no confirmation, nor does any of a report that may not count; and one of
+// another lease holder changes nothing.
+func TestNoConfirmationOfWhatIsNotCertain(t *testing.T) {
+	r := NewRecorder(1)
+	r.Add(Key{"c", 0}, 4)
+	c := newTestCollector(5, 0, []uint32{0})
+	reply, _ := r.HandleRequest(PageRequest{Period: 5, Token: c.Token})
+	c.Tick(time.Second)
+	c.Tick(time.Second + 2*queryRetryAfter) // without a reply to the first query
+	c.HandleMessage(0, reply)
+	if !c.Complete() || len(c.ToConfirm()) > 0 {
+		t.Errorf("to confirm: %v", c.ToConfirm())
+	}
+	for _, other := range []Confirmation{{Period: 5, Token: c.Token + 1}, {Period: 4, Token: c.Token}} {
+		if r.HandleConfirmation(other); r.delivery.reported {
+			t.Errorf("%+v is believed", other)
+		}
+	}
+	if r.HandleConfirmation(c.Confirmation()); !r.delivery.reported {
+		t.Error("not confirmed")
+	}
+	for _, later := range []PageRequest{{Period: 5, Token: 20}, {Period: 6, Token: 20, KnowsAllReports: true}} {
+		r.HandleRequest(later) // all acceptors have lost their memory, and the period is collected once more
+	}
+	if units := r.UnreportedUnits(0); units != 0 || len(r.unconfirmed) > 0 {
+		t.Errorf("%v units kept though reported, %d periods unconfirmed", units, len(r.unconfirmed))
+	}
+	repeated := NewCollector(6, 5, []uint32{5}, true, c.Token, time.Millisecond, 0)
+	repeated.Token = 21
+	collect(t, repeated, []*Recorder{r}, neverLost)
+	if len(repeated.ToConfirm()) > 0 {
+		t.Errorf("to confirm: %v", repeated.ToConfirm())
+	}
+}
+
 // A limiter keeps unconfirmed usage until a report that counts has it, however often the lease changes
 // hands, and no longer; it keeps no more than it has room for, and the summary says what is missing then.
 func TestUnconfirmedUsageIsBounded(t *testing.T) {
@@ -464,15 +531,16 @@
 
 // reportOrDie does the work on one period, and reports whether the lease holder lived to its end.
 func (p *randomPeriods) reportOrDie() bool {
-	const steps = 5
+	const steps = 6
 	diesAfter := p.random.IntN(4 * steps)
 	cut := Limiter(p.random.IntN(4 * len(p.recorders)))
 	loss := p.random.Float64() * 0.5
+	lost := func(to Limiter, _ bool) bool { return to == cut || p.chance(loss) }
 	c := p.open()
 	if diesAfter == 0 {
 		return false
 	}
-	p.query(c, func(to Limiter, _ bool) bool { return to == cut || p.chance(loss) })
+	p.query(c, lost)
 	if diesAfter == 1 {
 		return false
 	}
@@ -485,5 +553,9 @@
 		return false
 	}
 	p.confirm(c)
-	return diesAfter != 4
+	if diesAfter == 4 {
+		return false
+	}
+	p.sendConfirmations(c, lost)
+	return diesAfter != 5
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -25,6 +25,7 @@
 		PageRequest{Period: 3, Token: 9, TakesUnconfirmed: true}.Append(nil),
 		Page{Period: 9, Incarnation: 7, FirstPeriod: 3, Page: 2, Pages: 5, ClosedPeriod: 4, Entries: Entry{Key{"c", 1}, 2}.append(nil)}.Append(nil),
 		PendingReport{12}.Append(nil),
+		Confirmation{Period: 12, Token: 1 << 60}.Append(nil),
 	} {
 		f.Add(data)
 		for i := range data {
@@ -33,7 +34,8 @@
 			_, isRequest := ParsePageRequest(changed)
 			_, isPage := ParsePage(changed)
 			_, isPending := ParsePendingReport(changed)
-			if isRequest || isPage || isPending {
+			_, isConfirmation := ParseConfirmation(changed)
+			if isRequest || isPage || isPending || isConfirmation {
 				f.Errorf("a wrong byte %d is not noticed", i)
 			}
 		}
@@ -48,6 +50,9 @@
 		if m, ok := ParsePendingReport(data); ok && !bytes.Equal(m.Append(nil), data) {
 			t.Error("two datagrams of one pending report")
 		}
+		if m, ok := ParseConfirmation(data); ok && !bytes.Equal(m.Append(nil), data) {
+			t.Error("two datagrams of one confirmation")
+		}
 		if reports, _, err := ReadReports(bytes.NewReader(data)); err == nil {
 			Merge(reports)
 		}
