Play usage in a tier of two releases, with hot restarts between them both ways

Change: TestUsageAcrossReleases, beside TestHotRestartAcrossReleases: three limiters of both releases account for usage under load, and each is taken over four times by a process of the other release, the lease holder among them.

--- a/cmd/lemongate/crossrelease_test.go
+++ b/cmd/lemongate/crossrelease_test.go
@@ -3,12 +3,15 @@
 package main
 
 import (
+	"fmt"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"lemongate/internal/processharness"
+	"lemongate/internal/usage"
 )
 
 // previousReleaseVariable names a binary of an earlier release. The test is built with the tag
@@ -69,3 +72,90 @@
 	checkCeiling(t, first, rate, burst)
 	t.Logf("%d restarts, %d requests, %d served, longest time without one %v", restarts, len(results), served, gap)
 }
+
+// Limiters of this release and of an earlier one account for usage together, while one after another is
+// taken over by a process of the other release, the lease holder among them: no unit is reported twice, and
+// none is missing, as no message is lost.
+func TestUsageAcrossReleases(t *testing.T) {
+	const restarts, requestsPerSecond, settlePeriods = 12, 200, 5
+	previous := os.Getenv(previousReleaseVariable)
+	if previous == "" {
+		t.Fatalf("%s is not set", previousReleaseVariable)
+	}
+	dir := t.TempDir()
+	tier := newTierWithUsage(t, dir)
+	releases := []string{tier.Program[0], previous}
+	var processes []*processharness.Process
+	for i, l := range tier.Limiters {
+		tier.Program[0] = releases[i%2]
+		processes = append(processes, l.Start())
+	}
+	for _, p := range processes {
+		p.Await(t)
+	}
+	load := tier.StartLoad(requestsPerSecond, func(n int) processharness.Request {
+		return processharness.Request{Limiter: n % 3, Class: "read", Plan: "free", Customer: uint64(n % 30), SetSize: 3}
+	})
+	for i := range restarts {
+		time.Sleep(usagePeriod * 3 / 2)
+		n := i % 3
+		tier.Program[0] = releases[(n+i/3+1)%2]
+		successor := tier.Limiters[n].Start()
+		successor.Await(t)
+		processharness.Until(t, "it takes over", func() bool { return successor.HasLogged("takes over") })
+		processes[n].Signal(syscall.SIGTERM)
+		if err := processes[n].Wait(t); err != nil {
+			t.Errorf("restart %d: the predecessor ended with %v", i, err)
+		}
+		processes[n] = successor
+	}
+	results := load.End()
+	time.Sleep(settlePeriods * usagePeriod)
+	checkUsage(t, tier, dir)
+	t.Logf("%d restarts, %d requests", restarts, len(results))
+}
+
+// usagePeriod is the shortest that the operators' file allows.
+const usagePeriod = time.Second
+
+// newTierWithUsage makes three limiters with hot restart enabled that account for usage in files of a folder.
+func newTierWithUsage(t *testing.T, dir string) *processharness.Tier {
+	t.Helper()
+	tier := newTier(t, 3, 4)
+	text := fmt.Sprintf(`{"takeover":{"on":true,"silence_ms":300},"leases":{"on":true,"length_ms":1000,"keepers":3,"tasks":["rollup"]},
+		"rollup":{"dir":%q,"period_s":%d}}`, dir, int(usagePeriod.Seconds()))
+	operator := t.TempDir() + "/operator.json"
+	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tier.Program[len(tier.Program)-1] = operator
+	return tier
+}
+
+// checkUsage compares the usage in the files of a folder with the requests that reached backends, of one
+// unit each.
+func checkUsage(t *testing.T, tier *processharness.Tier, dir string) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(dir, "*.jsonl"))
+	if err != nil || len(paths) < 2 {
+		t.Fatalf("files %v, %v", paths, err)
+	}
+	var reports []usage.Report
+	for _, path := range paths {
+		more, faults, err := readUsageFile(path)
+		if err != nil || len(faults) > 0 {
+			t.Fatalf("%q, %v", faults, err)
+		}
+		reports = append(reports, more...)
+	}
+	summary := usage.Merge(reports)
+	reported := 0.0
+	for _, u := range summary.Usage {
+		reported += u.Units
+	}
+	byID, _ := tier.Attempts()
+	t.Logf("%.0f units reported, %d reached backends, %d periods of %d holders, faults %q", reported, len(byID), len(summary.Reports), len(paths), summary.Faults)
+	if reported != float64(len(byID)) {
+		t.Errorf("%.0f units reported, %d reached backends", reported, len(byID))
+	}
+}
