--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -57,14 +58,15 @@
 // sends the request once more on a new one.
 func (c *Client) Do(request string, wait time.Duration) (status int, body string, err error) {
 	kept := c.conn != nil
-	status, body, err = c.try(request, wait)
+	status, body, err = c.Once(request, wait)
 	if err != nil && kept && status == 0 {
-		status, body, err = c.try(request, wait)
+		status, body, err = c.Once(request, wait)
 	}
 	return status, body, err
 }
 
-func (c *Client) try(request string, wait time.Duration) (status int, body string, err error) {
+// Once sends a request and returns the answer to it. It does not send it again.
+func (c *Client) Once(request string, wait time.Duration) (status int, body string, err error) {
 	if c.conn == nil {
 		if c.conn, err = net.Dial("tcp", c.Addr); err != nil {
 			c.conn = nil
@@ -99,3 +101,39 @@
 		c.conn = nil
 	}
 }
+
+// A Pool keeps clients' connections: a request takes one that is free, or a new one.
+type Pool struct {
+	Addr string
+	mu   sync.Mutex
+	free []*Client
+}
+
+// Take returns a client whose connection is free.
+func (p *Pool) Take() *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.free) == 0 {
+		return &Client{Addr: p.Addr}
+	}
+	c := p.free[len(p.free)-1]
+	p.free = p.free[:len(p.free)-1]
+	return c
+}
+
+// Give returns a client to the pool.
+func (p *Pool) Give(c *Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.free = append(p.free, c)
+}
+
+// Close closes all free connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.free {
+		c.Close()
+	}
+	p.free = nil
+}
