--- a/review/rig/limiter.go
+++ b/review/rig/limiter.go
@@ -36,6 +36,7 @@
 	done    chan struct{}
 	dir     string // TMPDIR, which a successor shares
 	config  string // path of the configuration
+	run     string // command
 }
 
 // running are the processes that are to be ended when the case is told to end.
@@ -67,7 +68,12 @@
 	Classes   []map[string]any
 	MemoryMB  int
 	Sockets   int
-	Allowed   map[string]any
+
+	// Of a tier: the number of this limiter, and the addresses at which limiters take each other's messages.
+	Self  int
+	Peers []string
+	// Operator is the text of the operators' file, in place of the one that the deploy file names; empty for that one.
+	Operator string
 }
 
 // root is the folder of the repository.
@@ -86,6 +92,16 @@
 	return string(m[1]), nil
 }
 
+// FreePacketAddr returns a loopback address whose port is free for datagrams.
+func FreePacketAddr() string {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
 // FreeAddr returns a loopback address whose port is free.
 func FreeAddr() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -96,7 +112,7 @@
 	return l.Addr().String()
 }
 
-// Start starts one limiter that runs alone, and waits until it is ready.
+// Start starts a limiter, and waits until it is ready.
 func Start(o Options, logFile string) (*Limiter, error) {
 	run, err := runCommand()
 	if err != nil {
@@ -106,19 +122,24 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Limiter{Addr: FreeAddr(), Console: FreeAddr(), dir: dir, done: make(chan struct{})}
+	if o.Operator != "" {
+		operator := filepath.Join(dir, "operator.json")
+		if err := os.WriteFile(operator, []byte(o.Operator), 0o600); err != nil {
+			return nil, err
+		}
+		run = strings.Replace(run, "deploy/lemongate.json", operator, 1)
+	}
+	l := &Limiter{Addr: FreeAddr(), Console: FreeAddr(), dir: dir, run: run, done: make(chan struct{})}
 	allowed := map[string]any{
 		"connect_timeout_s": 0.25, "idle_close_s": 15.0, "max_attempts": 5, "max_retry_after_s": 1.0, "may_cancel": true,
 		"open_cap": 20000, "parallel_tries": false, "peers": false, "probes": false, "retry_after": true, "streams_per_conn": 1,
 	}
-	for k, v := range o.Allowed {
-		allowed[k] = v
-	}
+	allowed["peers"] = len(o.Peers) > 0
 	config := map[string]any{
-		"name": "n0", "listen": l.Addr, "discovery": o.Discovery, "seed": "8c1f30d27a5be964",
+		"name": fmt.Sprintf("n%d", o.Self), "listen": l.Addr, "discovery": o.Discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
 		"settings": map[string]any{
-			"me": 0, "siblings": 1, "zone": "hall-a", "zones": []string{"hall-a"}, "granularity_s": 0.002,
+			"me": o.Self, "siblings": max(len(o.Peers), 1), "zone": "hall-a", "zones": []string{"hall-a"}, "granularity_s": 0.002,
 			"membership_mode": "push", "weight_source": "none", "kinds": []string{"std-2c"},
 			"classes": o.Classes, "allowed": allowed, "clients": map[string]any{"marks_retry": true},
 			"family": "gate", "family_info": map[string]any{"most_units": 4, "peer_in_per_s": 40.0},
@@ -133,6 +154,9 @@
 			}},
 		},
 	}
+	if len(o.Peers) > 0 {
+		config["peer_listen"], config["peers"] = o.Peers[o.Self], o.Peers
+	}
 	data, err := json.Marshal(config)
 	if err != nil {
 		return nil, err
@@ -141,19 +165,29 @@
 	if err := os.WriteFile(l.config, data, 0o600); err != nil {
 		return nil, err
 	}
-	if err := l.start(run, logFile); err != nil {
+	if err := l.start(logFile); err != nil {
 		return nil, err
 	}
 	return l, l.waitReady()
 }
 
+// Again starts a limiter that has ended once more, from nothing, and waits until it is ready.
+func (l *Limiter) Again(logFile string) error {
+	<-l.done
+	l.done = make(chan struct{})
+	if err := l.start(logFile); err != nil {
+		return err
+	}
+	return l.waitReady()
+}
+
 // start starts the process with the command of the deploy file.
-func (l *Limiter) start(run, logFile string) error {
+func (l *Limiter) start(logFile string) error {
 	log, err := os.Create(logFile)
 	if err != nil {
 		return err
 	}
-	l.cmd = exec.Command("/bin/sh", "-c", run)
+	l.cmd = exec.Command("/bin/sh", "-c", l.run)
 	l.cmd.Dir = root()
 	l.cmd.Stdout, l.cmd.Stderr = log, log
 	for _, variable := range os.Environ() {
@@ -168,10 +202,11 @@
 	running.Lock()
 	running.limiters = append(running.limiters, l)
 	running.Unlock()
+	cmd, done := l.cmd, l.done
 	go func() {
-		_ = l.cmd.Wait()
+		_ = cmd.Wait()
 		_ = log.Close()
-		close(l.done)
+		close(done)
 	}()
 	return nil
 }
@@ -179,12 +214,8 @@
 // StartSuccessor starts a second process of the limiter: the same addresses and TMPDIR, another second address. It
 // waits until that process says yes at its health check.
 func (l *Limiter) StartSuccessor(logFile string) (*Limiter, error) {
-	run, err := runCommand()
-	if err != nil {
-		return nil, err
-	}
-	s := &Limiter{Addr: l.Addr, Console: FreeAddr(), dir: l.dir, config: l.config, done: make(chan struct{})}
-	if err := s.start(run, logFile); err != nil {
+	s := &Limiter{Addr: l.Addr, Console: FreeAddr(), dir: l.dir, config: l.config, run: l.run, done: make(chan struct{})}
+	if err := s.start(logFile); err != nil {
 		return nil, err
 	}
 	return s, s.wait("http://"+s.Console+"/healthcheck", 5*time.Millisecond)
