--- a/review/rig/limiter.go
+++ b/review/rig/limiter.go
@@ -3,6 +3,7 @@
 package rig
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -43,6 +44,25 @@
 var running struct {
 	sync.Mutex
 	limiters []*Limiter
+	commands []*exec.Cmd
+}
+
+// Command runs a command of the program, and returns what it printed.
+func Command(args ...string) (string, error) {
+	command := exec.Command(filepath.Join(root(), "bin", "lemongate"), args...)
+	var out bytes.Buffer
+	command.Stdout, command.Stderr = &out, &out
+	running.Lock()
+	err := command.Start()
+	if err == nil {
+		running.commands = append(running.commands, command)
+	}
+	running.Unlock()
+	if err != nil {
+		return "", err
+	}
+	err = command.Wait()
+	return strings.TrimSpace(out.String()), err
 }
 
 // Guard ends the case and its processes after 115 s, or when it is told to end.
@@ -57,6 +77,10 @@
 		running.Lock()
 		for _, l := range running.limiters {
 			_ = l.cmd.Process.Kill()
+			_ = os.RemoveAll(l.dir)
+		}
+		for _, command := range running.commands {
+			_ = command.Process.Kill()
 		}
 		os.Exit(NotRun)
 	}()
@@ -166,6 +190,7 @@
 		return nil, err
 	}
 	if err := l.start(logFile); err != nil {
+		_ = os.RemoveAll(dir)
 		return nil, err
 	}
 	return l, l.waitReady()
