Do not reuse a connection to a backend within 20 ms of its last byte

A connection stayed out of step: each further request on it got the response to the one before.

Cause: a connection went back into use the moment a response had ended. A second response that was still on its way then came after the first byte of the next request, and HTTP/1.1 does not say which request a response answers.

Change: no first byte within 20 ms of the last byte received, decided under the connection's lock where the first byte is decided already; so it holds for probes as well, and for the time in which a process is suspended (the socket is looked into after it). Weighed and not taken: to tell a crossed response by the request's bytes that are not acknowledged yet (SIOCOUTQ): a proxy in between, as in the case, acknowledges at once.

--- a/internal/upstream/backend.go
+++ b/internal/upstream/backend.go
@@ -81,6 +81,7 @@
 		_ = dialed.Close() // nothing was sent on it, so the error does not matter
 		return nil, err
 	}
+	conn.reuseDelay = c.reuseDelay
 	return conn, nil
 }
 
--- a/internal/upstream/backendconn.go
+++ b/internal/upstream/backendconn.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"lemongate/internal/rawread"
 )
@@ -31,24 +32,30 @@
 // Therefore the first byte of a request is written only while the transport's reader is blocked on the socket
 // with an empty buffer, and the socket is empty as well. If the transport has the first byte of a response in
 // its buffer before that, the connection is closed.
+//
+// Such data may also arrive some milliseconds after the response, and HTTP/1.1 does not say which request a response
+// answers. So the first byte of a request is written reuseDelay after the last byte received, at the earliest.
 type backendConn struct {
 	net.Conn
-	raw     syscall.RawConn
-	backend *backend
-	onClose func()      // called once, when the connection is closed
-	onWrite func(n int) // called after n bytes were written to the socket
+	raw        syscall.RawConn
+	backend    *backend
+	reuseDelay time.Duration // from the last byte received to the first byte of the next request, at least
+	onClose    func()        // called once, when the connection is closed
+	onWrite    func(n int)   // called after n bytes were written to the socket
 
 	mu            sync.Mutex
-	changed       sync.Cond // signaled when readerBlocked or ended becomes true
+	changed       sync.Cond // signaled when readerBlocked or ended becomes true, and at the end of a reuseDelay
 	attempt       *attempt  // that uses the connection; nil for a probe
 	writeStarted  bool      // a byte of the current request was written, so data read belongs to its response
 	writeFailed   bool      // a write of the current request failed or was refused
 	ended         bool      // nothing more may be written or read
 	readerBlocked bool      // http.Transport's reader waits for data; its buffer is empty or holds part of a response
+	lastRead      time.Time // when the last byte was received; zero before the first one
 	closeOnce     sync.Once
 }
 
-// newBackendConn wraps a connection. OnClose is called once it is closed, and onWrite after each write.
+// newBackendConn wraps a connection, whose reuseDelay is 0. OnClose is called once the connection is closed, and onWrite
+// after each write.
 func newBackendConn(tcp *net.TCPConn, b *backend, onClose func(), onWrite func(int)) (*backendConn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
@@ -113,6 +120,8 @@
 		c.ended = true
 		c.changed.Broadcast()
 		return 0, errStale
+	case n > 0:
+		c.lastRead = time.Now()
 	}
 	return n, err
 }
@@ -140,6 +149,7 @@
 	if c.writeStarted && !c.ended {
 		return nil
 	}
+	c.awaitReuseDelay()
 	for !c.ended && !c.readerBlocked {
 		c.changed.Wait() // until the reader is blocked on the socket
 	}
@@ -151,6 +161,37 @@
 	return nil
 }
 
+// awaitReuseDelay waits until reuseDelay has passed since the last byte received, or the connection ends. The caller
+// holds c.mu.
+func (c *backendConn) awaitReuseDelay() {
+	remaining := c.remainingReuseDelay()
+	if remaining <= 0 {
+		return
+	}
+	timer := time.AfterFunc(remaining, c.signalChange)
+	defer timer.Stop()
+	for !c.ended && c.remainingReuseDelay() > 0 {
+		c.changed.Wait()
+	}
+}
+
+// signalChange wakes those that wait for a change. It takes the lock, so that none of them misses it between its check
+// and its wait.
+func (c *backendConn) signalChange() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed.Broadcast()
+}
+
+// remainingReuseDelay returns how long no request may start on the connection; it is not positive if one may start now.
+// The caller holds c.mu.
+func (c *backendConn) remainingReuseDelay() time.Duration {
+	if c.lastRead.IsZero() {
+		return 0
+	}
+	return c.reuseDelay - time.Since(c.lastRead)
+}
+
 // startError returns the reason why a request must not start on the connection, or nil. The caller holds c.mu.
 func (c *backendConn) startError() error {
 	switch {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -23,6 +23,9 @@
 	// defaultResponseTimeout is the time from the first byte of a response to its last. It ends a response
 	// whose length is wrong or whose header never ends.
 	defaultResponseTimeout = 300 * time.Millisecond
+	// defaultReuseDelay is the time from the last byte received on a connection to the first byte of the next request
+	// on it. It is several times the few milliseconds by which a backend's second response to one request may be late.
+	defaultReuseDelay = 20 * time.Millisecond
 )
 
 // A Request is the part of a client's request that is forwarded.
@@ -64,6 +67,7 @@
 	conns           atomic.Int64  // number of open connections, including those being opened
 	maxConns        atomic.Int64  // bound on open connections; 0 for none
 	attemptsWritten atomic.Uint64 // number of attempts whose requests were written completely
+	reuseDelay      time.Duration // see defaultReuseDelay; tests change it
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -86,7 +90,10 @@
 	if options.ResponseTimeout <= 0 {
 		options.ResponseTimeout = defaultResponseTimeout
 	}
-	c := &Client{options: options, backends: map[string]*backend{}, attempts: map[core.AttemptID]*attempt{}}
+	c := &Client{
+		options: options, reuseDelay: defaultReuseDelay,
+		backends: map[string]*backend{}, attempts: map[core.AttemptID]*attempt{},
+	}
 	c.hooks = hooks{onConnected: func(core.AttemptID) {}, onWritten: func(int) {}}
 	c.SetResourceFraction(1)
 	return c
