Keep connections to backends in a pool that leaves them unused for 20 ms, in place of a wait

Change: connPool has the connections that are not in use. One that was used is available 20 ms after its last byte; an attempt takes the available one that was used last, or opens one, and takes what comes first, as http.Transport did. Each connection has an http.Transport of its own, which keeps HTTP as it was. The wait under the connection's lock is gone: the pool is the one place that decides it. Data that comes on a connection in the pool now ends it before http.Transport sees it; http.Transport wrote a log line with the start of the body, which is a customer's.

Weighed and not taken: several keys in one http.Transport, as an attempt whose dial is late would no longer get a connection that becomes free.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -44,7 +44,7 @@
 	staleConns      int         // number of connections that turned out to be stale before a byte was written
 
 	// mu guards both the current connection and the aborted flag, because they must change together:
-	// http.Transport may assign a connection, and write to it, after the attempt's context has ended.
+	// the attempt may get a connection, and http.Transport may write to it, after the attempt's context has ended.
 	mu      sync.Mutex
 	conn    *backendConn // current connection; nil for none
 	aborted bool         // no connection may be used for the attempt any longer
@@ -58,16 +58,17 @@
 }
 
 // attach assigns a connection to the attempt. If the attempt was aborted, attach closes the connection before
-// a byte is written.
-func (a *attempt) attach(conn *backendConn) {
+// a byte is written, and returns false.
+func (a *attempt) attach(conn *backendConn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.aborted {
 		_ = conn.Close() // nothing was sent on it
-		return
+		return false
 	}
 	conn.assign(a)
 	a.conn = conn
+	return true
 }
 
 // detach clears the current connection, on which no byte was written.
@@ -139,7 +140,6 @@
 // run makes an attempt and posts its outcome, unless CancelAttempt was called in the meantime. It runs in a
 // goroutine of its own.
 func (c *Client) run(ctx context.Context, a *attempt, e core.StartAttempt) {
-	defer a.backend.closeIdleIfClosed()
 	defer a.cancelContext()
 	out := c.perform(ctx, a, e)
 	c.mu.Lock()
@@ -185,35 +185,41 @@
 	}
 }
 
-// roundTrip makes an attempt on the connection that http.Transport selects.
+// roundTrip makes an attempt on the connection that the backend's pool selects.
 func (c *Client) roundTrip(ctx context.Context, a *attempt, e core.StartAttempt) outcome {
+	conn, err := a.backend.pool.get(ctx)
+	if errors.Is(err, errTooManyConns) || errors.Is(err, errBackendClosed) {
+		return outcome{result: admission.NotSent}
+	}
+	if err != nil {
+		return outcome{result: resultWithoutConn(err)}
+	}
+	defer a.backend.pool.put(conn)
+	c.hooks.onConnected(e.Attempt)
+	if !a.attach(conn.backendConn) {
+		return outcome{result: admission.NotSent} // which is not posted
+	}
 	// A valid response is complete shortly after its first byte. The timer closes the connection of a response
 	// whose header never ends or whose length is wrong, which would otherwise stay open.
 	responseTimer := time.AfterFunc(initialResponseTimeout, a.closeConn)
 	defer responseTimer.Stop()
-	ctx = httptrace.WithClientTrace(ctx, c.trace(a, e.Attempt, responseTimer))
+	ctx = httptrace.WithClientTrace(ctx, c.trace(a, responseTimer))
 	content := e.Content.(*Request)
 	body := newRequestBody(content.Body)
-	response, err := a.backend.transport.RoundTrip(newRequest(ctx, body, content, e))
-	if errors.Is(err, errTooManyConns) || errors.Is(err, errBackendClosed) || a.startExpired.Load() {
+	response, err := conn.transport.RoundTrip(newRequest(ctx, body, content, e))
+	if errors.Is(err, errBackendClosed) || a.startExpired.Load() {
 		return outcome{result: admission.NotSent}
 	}
 	if err != nil {
-		return outcome{result: resultWithoutResponse(a, body, err)}
+		return outcome{result: resultWithoutResponse(a, body)}
 	}
 	return c.receive(a, body, response)
 }
 
-// trace returns callbacks that assign the connection which http.Transport selects to the attempt, that control the
-// response timer as bytes of a response are received, and that count the attempts whose requests were written.
-func (c *Client) trace(a *attempt, id core.AttemptID, responseTimer *time.Timer) *httptrace.ClientTrace {
+// trace returns callbacks that control the response timer as bytes of a response are received, and that count the
+// attempts whose requests were written.
+func (c *Client) trace(a *attempt, responseTimer *time.Timer) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*backendConn); ok {
-				c.hooks.onConnected(id)
-				a.attach(conn)
-			}
-		},
 		GotFirstResponseByte: func() {
 			if conn := a.currentConn(); conn != nil {
 				conn.responseBuffered()
--- a/internal/upstream/backend.go
+++ b/internal/upstream/backend.go
@@ -1,10 +1,8 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -29,8 +27,8 @@
 // A backend holds the connections to one backend at one address, from the first attempt or probe until
 // CloseBackendConns.
 type backend struct {
-	transport *http.Transport
-	closed    atomic.Bool // set by CloseBackendConns
+	pool   *connPool
+	closed atomic.Bool // set by CloseBackendConns
 }
 
 // backend returns the backend with the given ID, and creates it if there is none. The caller holds c.mu.
@@ -40,49 +38,42 @@
 	}
 	b := &backend{}
 	dialer := &net.Dialer{Timeout: c.options.ConnectTimeout, KeepAlive: -1}
-	b.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			return c.dial(ctx, dialer, b, network, addr)
-		},
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    max(c.options.MaxIdlePerBackend, 1),
-		IdleConnTimeout:        time.Duration(float64(c.options.IdleClose) * idleFraction),
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	b.pool = &connPool{
+		dial:        func() (*pooledConn, error) { return c.dial(dialer, b, addr) },
+		maxIdle:     max(c.options.MaxIdlePerBackend, 1),
+		idleTimeout: time.Duration(float64(c.options.IdleClose) * idleFraction),
 	}
 	c.backends[id] = b
 	return b
 }
 
-// closeIdleIfClosed closes the idle connections of a backend that was closed during an attempt or a probe.
-// Closing them once is not enough: http.Transport keeps idle connections again after its next request.
-func (b *backend) closeIdleIfClosed() {
-	if b.closed.Load() {
-		b.transport.CloseIdleConnections()
-	}
-}
-
 // dial opens a connection to a backend, unless the backend is closed or there are too many connections.
-func (c *Client) dial(ctx context.Context, dialer *net.Dialer, b *backend, network, addr string) (net.Conn, error) {
+func (c *Client) dial(dialer *net.Dialer, b *backend, addr string) (*pooledConn, error) {
 	if b.closed.Load() {
 		return nil, errBackendClosed
 	}
 	if !c.reserveConn() {
 		return nil, errTooManyConns
 	}
-	release := func() { c.conns.Add(-1) }
-	dialed, err := dialer.DialContext(ctx, network, addr)
+	dialed, err := dialer.Dial("tcp", addr)
 	if err != nil {
-		release()
+		c.conns.Add(-1)
 		return nil, err
 	}
-	conn, err := newBackendConn(dialed.(*net.TCPConn), b, release, c.hooks.onWritten)
+	var pooled *pooledConn
+	onClose := func() {
+		c.conns.Add(-1)
+		b.pool.remove(pooled)
+	}
+	conn, err := newBackendConn(dialed.(*net.TCPConn), b, onClose, c.hooks.onWritten)
 	if err != nil {
-		release()
+		c.conns.Add(-1)
 		_ = dialed.Close() // nothing was sent on it, so the error does not matter
 		return nil, err
 	}
 	conn.reuseDelay = c.reuseDelay
-	return conn, nil
+	pooled = newPooledConn(conn)
+	return pooled, nil
 }
 
 // reserveConn counts a connection that is to be opened, and reports whether it may be opened. At the limit it
@@ -101,15 +92,15 @@
 	return false
 }
 
-// closeIdleConns closes the idle connections to all backends.
+// closeIdleConns closes the connections to all backends that are not in use.
 func (c *Client) closeIdleConns() {
 	c.mu.Lock()
-	transports := make([]*http.Transport, 0, len(c.backends))
+	pools := make([]*connPool, 0, len(c.backends))
 	for _, b := range c.backends {
-		transports = append(transports, b.transport)
+		pools = append(pools, b.pool)
 	}
 	c.mu.Unlock()
-	for _, transport := range transports {
-		transport.CloseIdleConnections()
+	for _, pool := range pools {
+		pool.closeUnused()
 	}
 }
--- a/internal/upstream/backendconn.go
+++ b/internal/upstream/backendconn.go
@@ -34,7 +34,7 @@
 // its buffer before that, the connection is closed.
 //
 // Such data may also arrive some milliseconds after the response, and HTTP/1.1 does not say which request a response
-// answers. So the first byte of a request is written reuseDelay after the last byte received, at the earliest.
+// answers. Therefore connPool makes a connection available reuseDelay after the last byte received, at the earliest.
 type backendConn struct {
 	net.Conn
 	raw        syscall.RawConn
@@ -44,7 +44,7 @@
 	onWrite    func(n int)   // called after n bytes were written to the socket
 
 	mu            sync.Mutex
-	changed       sync.Cond // signaled when readerBlocked or ended becomes true, and at the end of a reuseDelay
+	changed       sync.Cond // signaled when readerBlocked or ended becomes true
 	attempt       *attempt  // that uses the connection; nil for a probe
 	writeStarted  bool      // a byte of the current request was written, so data read belongs to its response
 	writeFailed   bool      // a write of the current request failed or was refused
@@ -149,7 +149,6 @@
 	if c.writeStarted && !c.ended {
 		return nil
 	}
-	c.awaitReuseDelay()
 	for !c.ended && !c.readerBlocked {
 		c.changed.Wait() // until the reader is blocked on the socket
 	}
@@ -161,37 +160,6 @@
 	return nil
 }
 
-// awaitReuseDelay waits until reuseDelay has passed since the last byte received, or the connection ends. The caller
-// holds c.mu.
-func (c *backendConn) awaitReuseDelay() {
-	remaining := c.remainingReuseDelay()
-	if remaining <= 0 {
-		return
-	}
-	timer := time.AfterFunc(remaining, c.signalChange)
-	defer timer.Stop()
-	for !c.ended && c.remainingReuseDelay() > 0 {
-		c.changed.Wait()
-	}
-}
-
-// signalChange wakes those that wait for a change. It takes the lock, so that none of them misses it between its check
-// and its wait.
-func (c *backendConn) signalChange() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.changed.Broadcast()
-}
-
-// remainingReuseDelay returns how long no request may start on the connection; it is not positive if one may start now.
-// The caller holds c.mu.
-func (c *backendConn) remainingReuseDelay() time.Duration {
-	if c.lastRead.IsZero() {
-		return 0
-	}
-	return c.reuseDelay - time.Since(c.lastRead)
-}
-
 // startError returns the reason why a request must not start on the connection, or nil. The caller holds c.mu.
 func (c *backendConn) startError() error {
 	switch {
@@ -228,6 +196,26 @@
 	return c.Conn.Close() // without holding c.mu: Close waits for the reader, which may need c.mu
 }
 
+// hasEnded reports whether nothing more may be written or read.
+func (c *backendConn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// endRequest records that the attempt or probe that used the connection has ended: data that is received from now on
+// answers no request. It returns how long no other request may start on the connection, which is not positive if one may
+// start now, and whether the connection has ended.
+func (c *backendConn) endRequest() (remaining time.Duration, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeStarted = false
+	if !c.lastRead.IsZero() {
+		remaining = c.reuseDelay - time.Since(c.lastRead)
+	}
+	return remaining, c.ended
+}
+
 // abort closes the connection if the given attempt still uses it.
 func (c *backendConn) abort(a *attempt) {
 	c.mu.Lock()
--- a/internal/upstream/backendconn_test.go
+++ b/internal/upstream/backendconn_test.go
@@ -58,7 +58,7 @@
 	if n, err := c.Write([]byte("GET")); n != 0 || !errors.Is(err, errBackendClosed) {
 		t.Errorf("wrote %d bytes, error %v; want 0 and errBackendClosed", n, err)
 	}
-	if got := resultWithoutResponse(a, newRequestBody(nil), errBackendClosed); got != admission.ConnectFailed {
+	if got := resultWithoutResponse(a, newRequestBody(nil)); got != admission.ConnectFailed {
 		t.Errorf("result %v, want admission.ConnectFailed", got)
 	}
 }
@@ -82,7 +82,7 @@
 			break
 		}
 	}
-	if got := resultWithoutResponse(a, newRequestBody(nil), io.EOF); got != admission.ConnectFailed {
+	if got := resultWithoutResponse(a, newRequestBody(nil)); got != admission.ConnectFailed {
 		t.Errorf("result %v, want admission.ConnectFailed", got)
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,8 +3,8 @@
 // does not compress, follow redirects or use a proxy.
 //
 // client.go contains the client, attempt.go an attempt from its start to its outcome, request.go and
-// response.go what is sent and received, backend.go the connections to a backend, backendconn.go a single
-// connection, probe.go the probes, and loadreport.go the load reports in responses.
+// response.go what is sent and received, backend.go a backend, pool.go the connections to it that are not in use,
+// backendconn.go a single connection, probe.go the probes, and loadreport.go the load reports in responses.
 package upstream
 
 import (
@@ -163,7 +163,7 @@
 			a.cancelIfUnwritten()
 		}
 	}
-	b.transport.CloseIdleConnections()
+	b.pool.close()
 }
 
 // Close calls CloseBackendConns for all backends.
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -111,7 +111,7 @@
 func TestIdleConns(t *testing.T) {
 	client := newTestClient("", func(o *Options) { o.IdleClose = 15 * time.Second })
 	b := client.backend("b", "h:1")
-	if got := b.transport; got.IdleConnTimeout != 10*time.Second || got.MaxIdleConnsPerHost != 4 {
-		t.Errorf("idle timeout %v, %d idle connections; want 10s and 4", got.IdleConnTimeout, got.MaxIdleConnsPerHost)
+	if got := b.pool; got.idleTimeout != 10*time.Second || got.maxIdle != 4 {
+		t.Errorf("idle timeout %v, %d idle connections; want 10s and 4", got.idleTimeout, got.maxIdle)
 	}
 }
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -101,6 +101,7 @@
 			}
 			outcomes[e.Attempt] = e
 		}})
+		client.reuseDelay = rapid.SampledFrom([]time.Duration{0, 0, time.Millisecond}).Draw(t, "reuse delay") // short, so that connections are used again
 		var started []core.AttemptID
 		canceled := map[core.AttemptID]bool{}
 		callID := func(id core.AttemptID) string { return fmt.Sprint("call", id.Request) }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -23,7 +23,6 @@
 	b := c.backend(e.Backend, e.Addr)
 	c.mu.Unlock()
 	go func() {
-		defer b.closeIdleIfClosed()
 		start := time.Now()
 		out := c.probe(b, e.Addr)
 		c.options.Post(&core.ProbeFinished{
@@ -35,29 +34,31 @@
 func (c *Client) probe(b *backend, addr string) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeoutFactor*c.options.ConnectTimeout)
 	defer cancel()
-	var conn *backendConn
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if got, ok := info.Conn.(*backendConn); ok {
-				got.assign(nil)
-				conn = got
-			}
-		},
-		GotFirstResponseByte: func() { conn.responseBuffered() },
-	})
+	conn, err := b.pool.get(ctx)
+	if err != nil {
+		return outcome{result: probeResultWithoutResponse(ctx)}
+	}
+	defer b.pool.put(conn)
+	conn.assign(nil)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: conn.responseBuffered})
 	request := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/status/load"},
 		Header: http.Header{"User-Agent": nil}, Body: io.NopCloser(bytes.NewReader(nil)),
 	}
-	response, err := b.transport.RoundTrip(request.WithContext(ctx))
+	response, err := conn.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		if ctx.Err() != nil {
-			return outcome{result: admission.TimedOut}
-		}
-		return outcome{result: admission.Unreachable}
+		return outcome{result: probeResultWithoutResponse(ctx)}
 	}
 	defer func() { _ = response.Body.Close() }() // the body was read to its end, or the connection is closed
-	return c.receiveProbe(conn, response)
+	return c.receiveProbe(conn.backendConn, response)
+}
+
+// probeResultWithoutResponse returns the result of a probe that failed, whose time may have ended.
+func probeResultWithoutResponse(ctx context.Context) admission.Result {
+	if ctx.Err() != nil {
+		return admission.TimedOut
+	}
+	return admission.Unreachable
 }
 
 // receiveProbe reads the response to a probe, whose header was received.
--- a/internal/upstream/race_test.go
+++ b/internal/upstream/race_test.go
@@ -71,6 +71,7 @@
 	backend := startBackend(t, response("200 OK", "", ""), response("200 OK", "", ""))
 	client := newTestClient(backend.listener.Addr().String())
 	defer client.Close()
+	client.reuseDelay = 0 // so that the second attempt gets the idle connection
 	client.attempt(get)
 	<-backend.requests
 	client.hooks.onConnected = func(id core.AttemptID) { client.CancelAttempt(id) }
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -20,6 +20,7 @@
 			backend := startBackend(t, response("200 OK", "", ""), "", response("200 OK", "", ""))
 			client := newTestClient(backend.listener.Addr().String())
 			defer client.Close()
+			client.reuseDelay = 0 // so that the second request is sent on the same connection
 			client.attempt(request)
 			if got := client.attempt(request); got.Result != admission.ConnectionLost {
 				t.Errorf("result %v, want admission.ConnectionLost", got.Result)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -26,8 +26,8 @@
 		return outcome{result: admission.ConnectFailed}
 	}
 	if !isFramed(response) {
-		result := resultWithoutResponse(a, body, errResponseUnframed) // before Body.Close, which would read further
-		_ = response.Body.Close()                                     // the connection is already closed
+		result := resultWithoutResponse(a, body) // before Body.Close, which would read further
+		_ = response.Body.Close()                // the connection is already closed
 		return outcome{result: result}
 	}
 	defer func() { _ = response.Body.Close() }() // the body was read to its end, or the connection is closed
@@ -35,7 +35,7 @@
 	data, err := readBody(response)
 	switch {
 	case err != nil:
-		return outcome{result: resultWithoutResponse(a, body, err), report: report}
+		return outcome{result: resultWithoutResponse(a, body), report: report}
 	case response.StatusCode == http.StatusOK:
 		served := &Response{ContentType: response.Header.Get("Content-Type"), Body: data}
 		return outcome{result: admission.Succeeded, report: report, response: served}
@@ -65,19 +65,21 @@
 		response.Header.Get("X-Rejected") == "1"
 }
 
-// resultWithoutResponse returns the result of an attempt that has no complete response. The attempt never ran if the
-// last byte of its request was not written, and may have run otherwise (ConnectionLost). A connect timeout or a broken
-// connection (ConnectFailed) is weaker evidence against a backend than a refused connect (Unreachable). No byte of the
-// attempt is written after resultWithoutResponse has returned.
-func resultWithoutResponse(a *attempt, body *requestBody, err error) admission.Result {
-	conn := a.currentConn()
-	if conn == nil {
-		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Timeout() {
-			return admission.ConnectFailed
-		}
-		return admission.Unreachable
+// resultWithoutConn returns the result of an attempt that got no connection. A connect timeout (ConnectFailed) is weaker
+// evidence against a backend than a refused connect (Unreachable).
+func resultWithoutConn(err error) admission.Result {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return admission.ConnectFailed
 	}
+	return admission.Unreachable
+}
+
+// resultWithoutResponse returns the result of an attempt that has a connection and no complete response. The attempt
+// never ran if the last byte of its request was not written (ConnectFailed), and may have run otherwise
+// (ConnectionLost). No byte of the attempt is written after resultWithoutResponse has returned.
+func resultWithoutResponse(a *attempt, body *requestBody) admission.Result {
+	conn := a.currentConn()
 	conn.abort(a)
 	_, complete := conn.progress(a)
 	if complete && body.fullyRead.Load() {
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -70,6 +70,7 @@
 	backend := startBackend(t, response("200 OK", "", string(body)), response("200 OK", "", ""))
 	client := newTestClient(backend.listener.Addr().String())
 	defer client.Close()
+	client.reuseDelay = 0 // so that the second request does not need another connection
 	if got := client.attempt(get).Response.(*Response); !bytes.Equal(got.Body, body) {
 		t.Errorf("got a body of %d bytes, which differs from the maxBodyBytes bytes sent", len(got.Body))
 	}
@@ -92,7 +93,8 @@
 			for _, first := range []string{"old", ""} { // without a body, the connection is idle before the response is returned
 				backend := startBackend(t, response("200 OK", "", first)+extra, response("200 OK", "", "new"), response("200 OK", "", "new"))
 				client := newTestClient(backend.listener.Addr().String())
-				for range 2 { // without a pause, so that the second attempt races with the transport's own check
+				client.reuseDelay = 0 // so that the second attempt gets the connection while the data is unread
+				for range 2 {         // without a pause, so that the second attempt races with the transport's own check
 					got := client.attempt(get)
 					if got.Result != admission.Succeeded {
 						t.Fatalf("result %v, want admission.Succeeded", got.Result)
--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
-	"errors"
+	"bytes"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
+	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,122 +18,168 @@
 	"lemongate/internal/testnet"
 )
 
-// serveLateCopy accepts connections. On the first one it answers a request with the body "first", sends a copy of that
-// response late (none if late is 0), whether or not the next request has come, and answers that one after answerTime with
-// the body "second". On each later connection it answers one request with the body "second". It reports the moments at
-// which it sent the first response and received each later request.
-func serveLateCopy(l net.Listener, late, answerTime time.Duration) <-chan time.Time {
-	moments := make(chan time.Time, 4)
-	second := response("200 OK", "", "second")
-	answerSecond := func(c net.Conn, reader *bufio.Reader) {
-		if _, err := http.ReadRequest(reader); err != nil {
-			return
-		}
-		moments <- time.Now()
-		time.Sleep(answerTime)
-		_, _ = io.WriteString(c, second) // the attempt's outcome shows whether it was received
-	}
-	serveFirst := func(c net.Conn) {
+// lateCopy is how late serveLateCopy sends a response for the second time.
+const lateCopy = 5 * time.Millisecond
+
+// serveLateCopy accepts connections. On the first one it answers a request, sends a copy of that response late, whether or
+// not the next request has come, and answers that one 50 ms after it has come. On each later connection it answers one
+// request. The responses differ in their bodies and load reports: "first" and 0.1, "second" and 0.2. The first one, and
+// its copy, has the given status.
+func serveLateCopy(l net.Listener, status string) {
+	first := response(status, "X-Load-Report: TEXT latency_ms=1, util=0.1\r\n", "first")
+	second := response("200 OK", "X-Load-Report: TEXT latency_ms=1, util=0.2\r\n", "second")
+	serve := func(c net.Conn, isFirst bool) {
 		defer func() { _ = c.Close() }()
 		reader := bufio.NewReader(c)
+		if isFirst {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, first) // the outcome shows whether it was received
+			time.Sleep(lateCopy)
+			_, _ = io.WriteString(c, first) // the client may have closed the connection
+		}
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
-		moments <- time.Now()
-		first := response("200 OK", "", "first")
-		_, _ = io.WriteString(c, first) // as above
-		if late > 0 {
-			time.Sleep(late)
-			_, _ = io.WriteString(c, first) // the client may have closed the connection
-		}
-		answerSecond(c, reader)
+		time.Sleep(10 * lateCopy)
+		_, _ = io.WriteString(c, second)   // as above
 		_, _ = io.Copy(io.Discard, reader) // until the client closes the connection
 	}
 	go func() { // ends with the listener
-		for serve := serveFirst; ; {
+		for isFirst := true; ; isFirst = false {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go serve(c)
-			serve = func(c net.Conn) {
-				defer func() { _ = c.Close() }()
-				answerSecond(c, bufio.NewReader(c))
-			}
+			go serve(c, isFirst)
 		}
 	}()
-	return moments
 }
 
 // A second response to one request that arrives some milliseconds late, as the next request crosses it, must not be
-// served as the response to that next request (review case 1).
-func TestLateSecondResponseDoesNotAnswerNextAttempt(t *testing.T) {
-	l := testnet.Listen(t)
-	serveLateCopy(l, 5*time.Millisecond, 50*time.Millisecond)
-	client := newTestClient(l.Addr().String())
-	defer client.Close()
-	client.reuseDelay = time.Hour // so that the copy arrives within it, however busy the machine is
-	for _, want := range []string{"first", "second"} {
+// served as the response to that next request (review case 1). Probes and attempts share connections.
+func TestLateSecondResponseDoesNotAnswerNextRequest(t *testing.T) {
+	attemptAt := func(t *testing.T, client *testClient, want string) {
 		got := client.attempt(get)
 		if got.Result != admission.Succeeded {
 			t.Fatalf("result %v, want admission.Succeeded with the body %q", got.Result, want)
 		}
 		if body := string(got.Response.(*Response).Body); body != want {
-			t.Errorf("body %q, want %q", body, want)
+			t.Errorf("attempt got the body %q, want %q", body, want)
+		}
+	}
+	probeAt := func(t *testing.T, client *testClient, want string) {
+		client.Probe(core.ProbeBackend{Backend: "b", Addr: client.addr})
+		got := (<-client.events).(*core.ProbeFinished)
+		report := map[string][]float64{"first": {1, 0.1}, "second": {1, 0.2}}[want]
+		if got.Result != admission.Succeeded || !reflect.DeepEqual(got.Report, report) {
+			t.Errorf("probe got result %v and report %v, want admission.Succeeded and %v", got.Result, got.Report, report)
 		}
 	}
+	type request func(*testing.T, *testClient, string)
+	for name, requests := range map[string][2]request{
+		"attempts":            {attemptAt, attemptAt},
+		"probe after attempt": {attemptAt, probeAt},
+		"attempt after probe": {probeAt, attemptAt},
+		"probe after a probe": {probeAt, probeAt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := testnet.Listen(t)
+			serveLateCopy(l, "200 OK")
+			client := newTestClient(l.Addr().String())
+			defer client.Close()
+			client.reuseDelay = time.Hour // so that the copy arrives within it, however busy the machine is
+			requests[0](t, client, "first")
+			requests[1](t, client, "second")
+		})
+	}
 }
 
-// The load report in a late second response to a probe must not be served as the response to the next attempt, and a late
-// second response to an attempt must not be taken for a load report: probes and attempts share connections.
-func TestLateSecondResponseBetweenProbesAndAttempts(t *testing.T) {
+// A late second response that says that its request never ran must not say so of the next request, which may run and
+// would be sent again.
+func TestLateSecondRejectionDoesNotRejectNextAttempt(t *testing.T) {
 	l := testnet.Listen(t)
-	serveLateCopy(l, 5*time.Millisecond, 50*time.Millisecond)
+	serveLateCopy(l, "503 Full\r\nX-Rejected: 1")
 	client := newTestClient(l.Addr().String())
 	defer client.Close()
 	client.reuseDelay = time.Hour
-	client.Probe(core.ProbeBackend{Backend: "b", Addr: client.addr})
-	if got := (<-client.events).(*core.ProbeFinished); got.Result != admission.Succeeded {
-		t.Fatalf("result of the probe %v, want admission.Succeeded", got.Result)
-	}
-	got := client.attempt(get)
-	if got.Result != admission.Succeeded || string(got.Response.(*Response).Body) != "second" {
-		t.Errorf("outcome of the attempt after a probe %+v, want its own response", got)
+	for i, want := range []admission.Result{admission.Rejected, admission.Succeeded} {
+		if got := client.attempt(get); got.Result != want {
+			t.Errorf("attempt %d: result %v, want %v", i, got.Result, want)
+		}
 	}
+}
 
-	l = testnet.Listen(t)
-	moments := serveLateCopy(l, 5*time.Millisecond, 0)
-	client = newTestClient(l.Addr().String(), func(o *Options) { o.ConnectTimeout = 10 * time.Second })
+// A late second response ends its connection without a line in the log, which http.Transport would write with the body
+// of the response.
+func TestLateSecondResponseIsNotLogged(t *testing.T) {
+	var logged bytes.Buffer
+	log.SetOutput(&logged)
+	defer log.SetOutput(os.Stderr)
+	l, answered := testnet.Listen(t), make(chan struct{})
+	go func() { // ends with the connection
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReader(c)) // the outcome shows whether it was received
+		_, _ = io.WriteString(c, response("200 OK", "", "first"))
+		<-answered
+		_, _ = io.WriteString(c, response("200 OK", "", "first"))
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	client := newTestClient(l.Addr().String())
 	defer client.Close()
 	client.reuseDelay = time.Hour
 	client.attempt(get)
-	client.Probe(core.ProbeBackend{Backend: "b", Addr: client.addr})
-	<-client.events
-	if <-moments; len(moments) > 0 {
-		t.Error("the probe was sent on the connection that has a second response")
+	close(answered)
+	waitFor(t, "the end of the connection", func() bool { return client.Conns() == 0 })
+	if logged.Len() > 0 {
+		t.Errorf("logged %q, want nothing", logged.String())
+	}
+}
+
+// blockDials makes further dials to the backend block until the end of the test.
+func (c *testClient) blockDials(t *testing.T) *connPool {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pool, ended := c.backend("b", c.addr).pool, make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	pool.dial = func() (*pooledConn, error) {
+		<-ended
+		return nil, errBackendClosed
 	}
+	return pool
 }
 
-// A connection is used again, and not before reuseDelay has passed: a second response that is late by less is then found
-// while no request waits for a response.
+// A connection is used again, but not before defaultReuseDelay has passed: a second response that is late by less is
+// then found while no request waits for a response. An attempt takes such a connection if a new one takes longer.
 func TestReuseDelay(t *testing.T) {
-	l := testnet.Listen(t)
-	moments := serveLateCopy(l, 0, 0)
-	client := newTestClient(l.Addr().String())
+	backend := startBackend(t, response("200 OK", "", "first"), response("200 OK", "", "second"))
+	client := newTestClient(backend.listener.Addr().String())
 	defer client.Close()
+	var writtenAt time.Time
+	client.hooks.onWritten = func(int) { writtenAt = time.Now() }
 	client.attempt(get)
-	if got := client.attempt(get); got.Result != admission.Succeeded || client.Conns() != 1 {
-		t.Errorf("result %v with %d connections, want admission.Succeeded with 1", got.Result, client.Conns())
+	first := writtenAt
+	client.blockDials(t)
+	if got := client.attempt(get); got.Result != admission.Succeeded {
+		t.Errorf("result %v, want admission.Succeeded", got.Result)
+	}
+	if gap := writtenAt.Sub(first); gap < defaultReuseDelay {
+		t.Errorf("the second request was written %v after the first one, want at least %v", gap, defaultReuseDelay)
 	}
-	responded, received := <-moments, <-moments
-	if gap := received.Sub(responded); gap < defaultReuseDelay {
-		t.Errorf("the second request came %v after the first response, want at least %v", gap, defaultReuseDelay)
+	if <-backend.requests; (<-backend.requests).conn != 0 {
+		t.Error("the second request was sent on another connection")
 	}
 }
 
-// An attempt that waits for the end of reuseDelay ends at once, and writes no byte, when it is canceled or withdrawn or
-// the connections to its backend are closed.
-func TestReuseDelayIsInterrupted(t *testing.T) {
+// An attempt that waits for a connection ends at once, and writes no byte, when it is withdrawn or canceled, or when the
+// connections to its backend are closed.
+func TestWaitForConnIsInterrupted(t *testing.T) {
 	for name, c := range map[string]struct {
 		interrupt func(*Client, core.AttemptID)
 		posted    bool // an outcome is posted
@@ -145,12 +195,11 @@
 			client.reuseDelay = time.Hour
 			client.attempt(get)
 			<-backend.requests
-			connected := make(chan struct{})
-			client.hooks.onConnected = func(core.AttemptID) { close(connected) }
+			pool := client.blockDials(t)
 			id := client.start(get)
-			<-connected
+			waitFor(t, "a waiting request", func() bool { return pool.waitingCount() == 1 })
 			c.interrupt(client.Client, id)
-			<-backend.closedConns // before reuseDelay has passed
+			waitFor(t, "no waiting request", func() bool { return pool.waitingCount() == 0 })
 			if c.posted {
 				if got := (<-client.events).(*core.AttemptFinished); got.Result != admission.NotSent {
 					t.Errorf("result %v, want admission.NotSent", got.Result)
@@ -163,20 +212,41 @@
 	}
 }
 
-// An attempt whose startBefore passes within reuseDelay is not sent.
-func TestReuseDelayOutlastsStartBefore(t *testing.T) {
-	c, remote := connPair(t)
-	c.reuseDelay = 10 * time.Millisecond
-	start := time.Now()
-	a := &attempt{startBefore: time.Millisecond, now: func() time.Duration { return time.Since(start) }}
-	a.attach(c)
-	c.lastRead = start
-	go readByte(c)
-	if n, err := c.Write([]byte("GET")); n != 0 || !errors.Is(err, errStartExpired) {
-		t.Errorf("wrote %d bytes, error %v; want 0 and errStartExpired", n, err)
+// An attempt whose StartBefore passes while it waits for a connection is not sent.
+func TestStartExpiresWhileWaitingForConn(t *testing.T) {
+	backend := startBackend(t, response("200 OK", "", "yes"), response("200 OK", "", "no"))
+	var now atomic.Int64
+	client := newTestClient(backend.listener.Addr().String(), func(o *Options) {
+		o.Now = func() time.Duration { return time.Duration(now.Load()) }
+	})
+	defer client.Close()
+	client.attempt(get)
+	<-backend.requests
+	client.blockDials(t)
+	client.hooks.onConnected = func(core.AttemptID) { now.Store(int64(time.Second)) }
+	id := core.AttemptID{Request: 2, Number: 1}
+	client.StartAttempt(core.StartAttempt{Attempt: id, Backend: "b", Addr: client.addr, Timeout: time.Minute, Content: get, StartBefore: time.Second})
+	if got := (<-client.events).(*core.AttemptFinished); got.Result != admission.NotSent || !got.StartExpired {
+		t.Errorf("outcome %+v, want admission.NotSent with StartExpired", got)
 	}
-	_ = c.Close()
-	if data, _ := io.ReadAll(remote); len(data) > 0 {
-		t.Errorf("sent after startBefore: %q, want nothing", data)
+	if len(backend.requests) > 0 {
+		t.Error("the request was sent")
 	}
 }
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			t.Fatalf("did not come within 10 s: %s", what)
+		}
+	}
+}
+
+// waitingCount returns the number of requests that wait for a connection.
+func (p *connPool) waitingCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting)
+}
