Write the responses that are due at the end of a shutdown, also after a suspension

Cause: two timers that know nothing of each other, the core's deadline of a request and that of Server.Close. After a suspension across both, Close closed connections whose response was due.

Ruled out: the successor (the lost requests have attempts of the old process); SIGKILL (0.67 s later); a request that was closed unread (it had reached a backend).

Change: at the end of its time Close reads nothing more, and waits until each request that was read has its response, for 10 polls of 5 ms at most. The polls are counted, so they pass only while the process runs. That nothing more is read is said there once more, as both times of Close may pass in one suspension.

The price: a process stops up to 50 ms later, and only where a response is missing at the end of its time.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -44,6 +44,10 @@
 	// defaultFinalReadMargin is the time before the end of Close at which the server stops reading requests, so that
 	// the last request read has this time to be answered.
 	defaultFinalReadMargin = 200 * time.Millisecond
+	// defaultFinalResponsePolls is the number of closePollIntervals, at least, for which Close waits beyond its timeout for
+	// the responses to requests that it has read. They are counted, not measured: the process may have been suspended as
+	// the timeout passed, and the responses that were due meanwhile are written once it continues.
+	defaultFinalResponsePolls = 10
 )
 
 // Options are the options of a Server.
@@ -79,7 +83,8 @@
 	// before conns exists.
 	resourceFraction float64
 
-	finalReadMargin time.Duration // see defaultFinalReadMargin; tests change it
+	finalReadMargin    time.Duration // see defaultFinalReadMargin; tests change it
+	finalResponsePolls int           // see defaultFinalResponsePolls; tests change it
 
 	mu               sync.Mutex
 	pendingResponses map[core.RequestID]chan core.Respond // of requests without a response; each channel holds one
@@ -99,6 +104,8 @@
 		acceptingEnded:   make(chan struct{}),
 		resourceFraction: 1,
 		finalReadMargin:  defaultFinalReadMargin,
+
+		finalResponsePolls: defaultFinalResponsePolls,
 	}
 	for i, class := range options.Settings.Classes {
 		s.classes[class.Name] = &options.Settings.Classes[i]
@@ -257,7 +264,8 @@
 }
 
 // Close stops accepting, and waits until all connections are closed or moved, but no longer than the timeout.
-// Shortly before the timeout it stops reading requests.
+// Shortly before the timeout it stops reading requests. After the timeout it still waits for the responses to requests
+// that it has read, for a short time in which the process runs.
 func (s *Server) Close(timeout time.Duration) {
 	s.closing.Store(true)
 	if conns := s.conns.Load(); conns != nil {
@@ -285,12 +293,25 @@
 		case <-stopReading:
 			conns.stopReading()
 		case <-timedOut:
+			s.awaitFinalResponses(conns, poll)
 			s.options.Log.Warn("server close timed out with client connections still open", zap.Int("connections", conns.count()))
 			return
 		}
 	}
 }
 
+// awaitFinalResponses waits until no request is in progress, but no longer than finalResponsePolls. No more requests are
+// read.
+func (s *Server) awaitFinalResponses(conns *connSet, poll *time.Ticker) {
+	conns.stopReading() // both times of Close may have passed while the process was suspended
+	for range s.finalResponsePolls {
+		if conns.requestsInProgress() == 0 {
+			return
+		}
+		<-poll.C
+	}
+}
+
 // Respond passes the response to the goroutine that serves the request, which writes it. Respond does not block. It
 // drops a second response to the same request.
 func (s *Server) Respond(response core.Respond) {
--- a/internal/httpserver/shutdown.go
+++ b/internal/httpserver/shutdown.go
@@ -60,3 +60,11 @@
 		_ = c.Conn.Close() // the connection has ended even if this fails
 	}
 }
+
+// requestsInProgress returns the number of connections with a request that was read, or is still being read, and whose
+// response is not written yet.
+func (s *connSet) requestsInProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byState[stateReading].Len() + s.byState[stateBusy].Len()
+}
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -177,3 +177,70 @@
 		}
 	}
 }
+
+// A process that was suspended as the time of Close ended still writes the responses that were due meanwhile: closing
+// their connections would lose requests that were received (review case 2).
+func TestResponsesDueAtEndOfCloseAreWritten(t *testing.T) {
+	l := testnet.Listen(t)
+	server := newTestServer(l)
+	server.finalResponsePolls = 1 << 30 // until the test responds, however busy the machine is
+	server.run(t, l)
+	client := server.connect(t)
+	client.send(validRequest)
+	id := (<-server.events).(*core.RequestReceived).ID
+	closed := make(chan bool)
+	go func() { server.Close(0); close(closed) }() // as if the process continued after the timeout
+	select {
+	case <-closed:
+		t.Error("Close returned with a request in progress")
+	case <-time.After(10 * closePollInterval):
+	}
+	server.reject(id)
+	client.expectRejected()
+	<-closed
+}
+
+// While Close waits for the responses that are due, it reads no further requests: the process may have been suspended
+// across the time at which reading was to stop.
+func TestNoReadsWhileFinalResponsesAreDue(t *testing.T) {
+	l := testnet.Listen(t)
+	server := newTestServer(l)
+	server.finalResponsePolls, server.server.ReadHeaderTimeout = 1<<30, time.Hour
+	server.finalReadMargin = -time.Hour // as if the timeout were handled before the end of reading
+	server.run(t, l)
+	busy, idle, half := server.connect(t), server.connect(t), server.connect(t)
+	busy.send(validRequest)
+	id := (<-server.events).(*core.RequestReceived).ID
+	idle.requestReady()
+	half.send(validHead)
+	server.awaitState(stateIdle, 1)
+	server.awaitReaderBlocked()
+	closed := make(chan bool)
+	go func() { server.Close(0); close(closed) }()
+	for _, client := range []*testClient{idle, half} {
+		client.expectClose()
+		client.send(validRequest)
+	}
+	server.reject(id)
+	busy.expectRejected()
+	<-closed
+	for len(server.events) > 0 {
+		if ev, ok := (<-server.events).(*core.RequestReceived); ok {
+			t.Errorf("request was read at the end of Close: %+v", ev)
+		}
+	}
+}
+
+// A request that never gets a response does not keep Close from returning.
+func TestCloseReturnsWithoutResponse(t *testing.T) {
+	server := startServer(t)
+	client := server.connect(t)
+	client.send(validRequest)
+	<-server.events
+	start := time.Now()
+	server.Close(0)
+	if took, least := time.Since(start), (defaultFinalResponsePolls-2)*closePollInterval; took < least {
+		t.Errorf("Close returned after %v, want at least %v", took, least)
+	}
+	client.expectClose()
+}
