Count the time to exit from the shutdown request, as the time to SIGKILL does

Without an upgrade, a suspension around 0.5 s after SIGTERM moved the end by its length towards SIGKILL.

Cause: startClosing counted from its own moment, less acceptGrace, which an upgrade does not have and a suspension makes longer.

Change: the core keeps the time of the shutdown request and counts from it; a process that ends by itself after it has handed over, before SIGTERM, counts from that moment.

Failed before: TestExitTimeCountsFromShutdownRequest, each of its three cases (within 5 s, want 4.85, 5.5 and 5.5 s).

Price: a process in an upgrade may stop 0.5 s later, where a client keeps a request open that long; 0.2 s before SIGKILL as before.

--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -88,7 +88,7 @@
 	if m.phase >= Draining || m.hotRestart.shutdownRequested {
 		return
 	}
-	m.hotRestart.shutdownRequested = true
+	m.hotRestart.shutdownRequested, m.hotRestart.shutdownRequestedAt = true, m.now
 	effects, alone := m.hotRestart.protocol.ShutdownRequested(m.now)
 	m.applyHotRestart(effects)
 	if alone {
@@ -126,9 +126,17 @@
 	} else {
 		m.stepController(admission.ShutdownStarted{})
 	}
-	within := m.longestDeadline() + killAfter - acceptGrace - killMargin
-	m.exitBy = m.now + within
-	m.emit(CloseServer{Within: within})
+	m.exitBy = m.shutdownAt() + m.longestDeadline() + killAfter - killMargin
+	m.emit(CloseServer{Within: max(m.exitBy-m.now, 0)})
+}
+
+// shutdownAt returns the clock time of the shutdown request, after which the platform sends SIGKILL. The request is still
+// to come if this process has handed over to a successor and ends by itself.
+func (m *Machine) shutdownAt() time.Duration {
+	if m.hotRestart.shutdownRequested {
+		return m.hotRestart.shutdownRequestedAt
+	}
+	return m.now
 }
 
 // longestDeadline returns the longest time for which any client may wait.
--- a/internal/core/lifecycle_test.go
+++ b/internal/core/lifecycle_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemongate/internal/admission"
+	"lemongate/internal/hotrestart"
 )
 
 // The phases follow one another, each with the effects with which it begins.
@@ -86,6 +87,51 @@
 	}
 }
 
+// The time to exit counts from the shutdown request, as the time to SIGKILL does: not from the end of acceptGrace, which
+// is noticed late if the process is suspended; and a predecessor, which closes at once, has as much time as any process.
+func TestExitTimeCountsFromShutdownRequest(t *testing.T) {
+	const requestedAt = time.Hour + 10*time.Second
+	const exitTime = 5*time.Second + killAfter - killMargin // the longest deadline is that of class post
+	closeServer := func(t *testing.T, effects []Effect, want time.Duration) {
+		t.Helper()
+		if got := effectsOf[CloseServer](effects); len(got) != 1 || got[0].Within != want {
+			t.Errorf("%+v, want one CloseServer within %v", got, want)
+		}
+	}
+	t.Run("alone, suspended across acceptGrace", func(t *testing.T) {
+		m := newTestMachine(t)
+		m.Step(time.Hour+discoveryTimeout, TimerFired{})
+		m.Step(requestedAt, ShutdownRequested{})
+		const suspended = 150 * time.Millisecond
+		effects := m.Step(requestedAt+acceptGrace+suspended, TimerFired{})
+		closeServer(t, effects, exitTime-acceptGrace-suspended)
+	})
+	handedOver := func(t *testing.T) *Machine {
+		limits := hotrestart.DefaultLimits()
+		m, _ := New(time.Hour, Config{Settings: testSettings, Seed: 1, HotRestart: &limits})
+		m.Step(time.Hour, LinkClosed{}) // there is no predecessor
+		m.Step(time.Hour+discoveryTimeout, TimerFired{})
+		m.Step(requestedAt-3, &SuccessorConnected{})
+		m.Step(requestedAt-2, &LinkMessageReceived{Kind: hotrestart.Prepared})
+		m.Step(requestedAt-1, &LinkMessageReceived{Kind: hotrestart.Adopted})
+		if m.Phase() != HandedOver {
+			t.Fatalf("phase %v, want handed", m.Phase())
+		}
+		return m
+	}
+	t.Run("predecessor", func(t *testing.T) {
+		closeServer(t, handedOver(t).Step(requestedAt, ShutdownRequested{}), exitTime)
+	})
+	t.Run("predecessor without a shutdown request", func(t *testing.T) {
+		m := handedOver(t)
+		limits := hotrestart.DefaultLimits()
+		for at := requestedAt; at < requestedAt+limits.ProbationDuration; at += limits.HeartbeatInterval {
+			m.Step(at, &LinkMessageReceived{Kind: hotrestart.Heartbeat})
+		}
+		closeServer(t, m.Step(requestedAt+limits.ProbationDuration, TimerFired{}), exitTime)
+	})
+}
+
 // A request that arrives on an idle connection while the process ends is answered before the exit, even if
 // its client's budget is longer: after the exit no process would answer it.
 func TestLateRequestIsAnsweredBeforeExit(t *testing.T) {
