Wait for a connection that was just used, rather than open another one

Cause: since connPool came in, an attempt that found only connections that had just been used opened one.

Change: a request for a connection waits for one whose 20 ms are not over, if no other request waits for that one. A connection is opened for each request beyond these, and as soon as one of these ends.

Test: TestPoolRequestWaitsForReuseDelay; on the pool before, it hangs until its time-out.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,7 +39,8 @@
 
 // A connPool holds the connections to one backend that no attempt or probe uses. It differs from the pool of
 // http.Transport in one point: a connection that was used is not available until reuseDelay has passed since its last
-// response. An attempt waits for that only if there is no other connection and opening one takes longer.
+// response. If there is no other one, a request for a connection waits for that: it takes no longer than opening one, and
+// costs the backend nothing.
 type connPool struct {
 	dial        func() (*pooledConn, error)
 	maxIdle     int           // number of available connections kept
@@ -55,7 +56,8 @@
 
 // A connRequest is a call of get that waits for a connection.
 type connRequest struct {
-	result chan connResult // has room for one result
+	result  chan connResult // has room for one result
+	dialing bool            // a connection is being opened for it
 }
 
 type connResult struct {
@@ -63,9 +65,10 @@
 	err  error
 }
 
-// get returns the connection that was used last of those that are available. If there is none it opens one, and returns
-// that one or another that becomes available in the meantime. The caller calls put when it no longer uses the connection.
-// If the context ends, the dial goes on for the benefit of others.
+// get returns the connection that was used last of those that are available. If there is none it waits for one that
+// becomes available after its reuseDelay. If others wait for all of these it opens one, and returns that one or another
+// that becomes available before. The caller calls put when it no longer uses the connection. If the context ends, the dial
+// goes on for the benefit of others.
 func (p *connPool) get(ctx context.Context) (*pooledConn, error) {
 	p.mu.Lock()
 	now := time.Now()
@@ -75,9 +78,9 @@
 	}
 	request := &connRequest{result: make(chan connResult, 1)}
 	p.waiting = append(p.waiting, request)
+	p.startDials()
 	p.schedule(now)
 	p.mu.Unlock()
-	go p.dialFor(request)
 	select {
 	case result := <-request.result:
 		return result.conn, result.err
@@ -99,6 +102,17 @@
 	return nil
 }
 
+// startDials opens connections for the requests that no connection in the pool will become available for. The caller holds
+// p.mu, and has given all available connections to those that waited.
+func (p *connPool) startDials() {
+	for _, request := range p.waiting[min(len(p.idle), len(p.waiting)):] {
+		if !request.dialing {
+			request.dialing = true
+			go p.dialFor(request)
+		}
+	}
+}
+
 // dialFor opens a connection for a request. If the request has got another one by then, the new one is for others.
 func (p *connPool) dialFor(request *connRequest) {
 	conn, err := p.dial()
@@ -170,6 +184,7 @@
 		unneeded = append(unneeded, p.idle[0])
 		p.idle = p.idle[1:]
 	}
+	p.startDials()
 	p.schedule(now)
 	return unneeded
 }
@@ -238,6 +253,7 @@
 	defer p.mu.Unlock()
 	if i := slices.Index(p.idle, conn); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
+		p.startDials()
 	}
 }
 
@@ -246,6 +262,7 @@
 	p.mu.Lock()
 	unused := p.idle
 	p.idle = nil
+	p.startDials()
 	p.mu.Unlock()
 	closeConns(unused)
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -91,6 +91,37 @@
 	})
 }
 
+// A request waits for a connection whose reuseDelay has not passed, and no other connection is opened for it. One is
+// opened if that connection ends, and for a request that comes while another one waits for it.
+func TestPoolRequestWaitsForReuseDelay(t *testing.T) {
+	p, d := newTestPool(t)
+	resting := newConn(t, p, 0)
+	resting.reuseDelay = 10 * time.Millisecond
+	p.put(resting)
+	if got, err := p.get(t.Context()); got != resting || err != nil {
+		t.Errorf("got %p, error %v; want the connection that was used", got, err)
+	}
+	select {
+	case d.results <- connResult{err: errDial}:
+		t.Error("a connection was opened although another one was about to be available")
+	default:
+	}
+
+	resting = newConn(t, p, 0)
+	p.put(resting)
+	first, second := getLater(t, t.Context(), p), getLater(t, t.Context(), p)
+	dialed := []*pooledConn{newConn(t, p, time.Hour), newConn(t, p, time.Hour)}
+	d.results <- connResult{conn: dialed[0]}
+	if got := <-second; got.conn != dialed[0] {
+		t.Errorf("the second request got %+v, want the connection opened for it", got)
+	}
+	_ = resting.Close()
+	d.results <- connResult{conn: dialed[1]}
+	if got := <-first; got.conn != dialed[1] {
+		t.Errorf("the first request got %+v, want the connection opened as the other one ended", got)
+	}
+}
+
 // A request gets the error of its own dial only, and only while it waits.
 func TestPoolDialError(t *testing.T) {
 	p, d := newTestPool(t)
--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -156,20 +156,20 @@
 }
 
 // A connection is used again, but not before defaultReuseDelay has passed: a second response that is late by less is
-// then found while no request waits for a response. An attempt takes such a connection if a new one takes longer.
+// then found while no request waits for a response.
 func TestReuseDelay(t *testing.T) {
 	backend := startBackend(t, response("200 OK", "", "first"), response("200 OK", "", "second"))
 	client := newTestClient(backend.listener.Addr().String())
 	defer client.Close()
-	var writtenAt time.Time
-	client.hooks.onWritten = func(int) { writtenAt = time.Now() }
+	written := make(chan time.Time, 4) // each request is written at once
+	client.hooks.onWritten = func(int) { written <- time.Now() }
 	client.attempt(get)
-	first := writtenAt
 	client.blockDials(t)
 	if got := client.attempt(get); got.Result != admission.Succeeded {
 		t.Errorf("result %v, want admission.Succeeded", got.Result)
 	}
-	if gap := writtenAt.Sub(first); gap < defaultReuseDelay {
+	first, second := <-written, <-written
+	if gap := second.Sub(first); gap < defaultReuseDelay {
 		t.Errorf("the second request was written %v after the first one, want at least %v", gap, defaultReuseDelay)
 	}
 	if <-backend.requests; (<-backend.requests).conn != 0 {
