--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,8 +39,8 @@
 
 // A connPool holds the connections to one backend that no attempt or probe uses. It differs from the pool of
 // http.Transport in one point: a connection that was used is not available until reuseDelay has passed since its last
-// response. If there is no other one, a request for a connection waits for that: it takes no longer than opening one, and
-// costs the backend nothing.
+// response. If there is no other one, a request for a connection waits for that: unlike opening one, it costs the backend
+// nothing.
 type connPool struct {
 	dial        func() (*pooledConn, error)
 	maxIdle     int           // number of available connections kept
