Answer a request that comes late in the drain before the exit

What callers saw: nothing yet, as it was found in the review of this change before its landing. A request read over 0.5 s after SIGTERM, by a process that still drains, would get a closed connection and no answer.

A process drains for longer than 0.5 s if it is suspended across that time, or if a transfer to a successor fails after SIGTERM. Evidence: the core's timers, a request due at 15.58 s after an origin where the exit is at 15.5 s.

Change: the time to exit is set at the shutdown request, and bounds each request from then on.

Failed before: TestRequestReceivedLateInDrainIsAnsweredBeforeExit. Unchanged: TestExitTimeCountsFromShutdownRequest, and all digests of TestSameDecisionsAsEarlierRelease. Price: a request that comes in the last 40 ms of the 0.5 s is answered up to 40 ms before its client's time is over.

--- a/internal/core/hotrestart.go
+++ b/internal/core/hotrestart.go
@@ -21,10 +21,9 @@
 
 // hotRestartState is the state of the hot restart in progress, if there is one.
 type hotRestartState struct {
-	protocol            *hotrestart.Machine
-	timerAt             time.Duration // clock time for which its timer is set; 0 for none
-	shutdownRequested   bool
-	shutdownRequestedAt time.Duration // clock time; 0 if not requested
+	protocol          *hotrestart.Machine
+	timerAt           time.Duration // clock time for which its timer is set; 0 for none
+	shutdownRequested bool
 
 	// State of a predecessor.
 	stateSent      bool                  // the successor exchanges messages with other limiters, and follows attempts here
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -88,7 +88,8 @@
 	if m.phase >= Draining || m.hotRestart.shutdownRequested {
 		return
 	}
-	m.hotRestart.shutdownRequested, m.hotRestart.shutdownRequestedAt = true, m.now
+	m.hotRestart.shutdownRequested = true
+	m.setExitTime()
 	effects, alone := m.hotRestart.protocol.ShutdownRequested(m.now)
 	m.applyHotRestart(effects)
 	if alone {
@@ -126,17 +127,16 @@
 	} else {
 		m.stepController(admission.ShutdownStarted{})
 	}
-	m.exitBy = m.shutdownAt() + m.longestDeadline() + killAfter - killMargin
+	if m.exitBy == 0 { // this process has handed over and ends by itself; the shutdown request is still to come
+		m.setExitTime()
+	}
 	m.emit(CloseServer{Within: max(m.exitBy-m.now, 0)})
 }
 
-// shutdownAt returns the clock time of the shutdown request, after which the platform sends SIGKILL. The request is still
-// to come if this process has handed over to a successor and ends by itself.
-func (m *Machine) shutdownAt() time.Duration {
-	if m.hotRestart.shutdownRequested {
-		return m.hotRestart.shutdownRequestedAt
-	}
-	return m.now
+// setExitTime sets the time by which the process ends, from now on as the time of the shutdown request: SIGKILL follows
+// that request.
+func (m *Machine) setExitTime() {
+	m.exitBy = m.now + m.longestDeadline() + killAfter - killMargin
 }
 
 // longestDeadline returns the longest time for which any client may wait.
--- a/internal/core/lifecycle_test.go
+++ b/internal/core/lifecycle_test.go
@@ -87,6 +87,54 @@
 	}
 }
 
+// A request that is received after acceptGrace while the process still drains, as it was suspended or a transfer to a
+// successor failed first, is answered before the exit: the time to exit counts from the shutdown request.
+func TestRequestReceivedLateInDrainIsAnsweredBeforeExit(t *testing.T) {
+	const requestedAt = time.Hour + 10*time.Second
+	const exitBy = requestedAt + 5*time.Second + killAfter - killMargin // the longest deadline is that of class post
+	endpoints := []Endpoint{newEndpoint("b1", "h:1", admission.Live, 0)}
+	newMachine := func(hotRestart *hotrestart.Limits) *Machine {
+		m, _ := New(time.Hour, Config{Settings: settingsWithFreePlan(), Seed: 1, KnownEndpoints: endpoints, HotRestart: hotRestart})
+		if hotRestart != nil {
+			m.Step(time.Hour, LinkClosed{}) // there is no predecessor
+		}
+		m.Step(time.Hour+discoveryTimeout, TimerFired{})
+		return m
+	}
+	limits := hotrestart.DefaultLimits()
+	for name, drain := range map[string]func() *Machine{
+		"suspended": func() *Machine {
+			m := newMachine(nil)
+			m.Step(requestedAt, ShutdownRequested{})
+			return m
+		},
+		"after a failed transfer": func() *Machine {
+			m := newMachine(&limits)
+			m.Step(requestedAt-2, &SuccessorConnected{})
+			m.Step(requestedAt-1, &LinkMessageReceived{Kind: hotrestart.Prepared})
+			m.Step(requestedAt, ShutdownRequested{})
+			m.Step(requestedAt+100*time.Millisecond, LinkClosed{})
+			return m
+		},
+	} {
+		m := drain()
+		if m.Phase() != Draining {
+			t.Fatalf("%s: phase %v, want draining", name, m.Phase())
+		}
+		at := requestedAt + acceptGrace + 90*time.Millisecond // before the timer of acceptGrace is handled
+		request := newReadRequest(1, at, 5*time.Second)
+		request.Plan, request.Class = "free", "post"
+		effects := m.Step(at, request)
+		for len(effectsOf[Respond](effects)) == 0 {
+			timer := effectsOf[SetTimer](effects)
+			if len(timer) == 0 || timer[0].At > exitBy-exitMargin {
+				t.Fatalf("%s: effects %v, want a response or a timer at %v at the latest", name, effects, exitBy-exitMargin)
+			}
+			effects = m.Step(timer[0].At, TimerFired{})
+		}
+	}
+}
+
 // The time to exit counts from the shutdown request, as the time to SIGKILL does: not from the end of acceptGrace, which
 // is noticed late if the process is suspended; and a predecessor, which closes at once, has as much time as any process.
 func TestExitTimeCountsFromShutdownRequest(t *testing.T) {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -52,7 +52,7 @@
 	counters Counters
 
 	phase     Phase
-	exitBy    time.Duration // clock time by which the process ends, even with open requests; 0 before Closing
+	exitBy    time.Duration // clock time by which the process ends, even with open requests; 0 before a shutdown
 	timers    timerQueue
 	admission admissionState
 	requests  requestSet
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -125,7 +125,7 @@
 		deadline:        min(ev.ReceivedAt, m.now) + ev.Budget - responseMargin,
 		fromPredecessor: fromPredecessor,
 	}
-	if m.phase >= Closing { // the request arrived on a connection accepted earlier; the process ends by exitBy
+	if m.exitBy != 0 { // the process ends before the client's time is over, if the request came late in the shutdown
 		r.deadline = min(r.deadline, m.exitBy-exitMargin)
 	}
 	if fromPredecessor {
