--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -146,6 +146,29 @@
 	t.Error("server still accepts connections after Close")
 }
 
+// openConns opens a connection with a request in progress, an idle one, and one with half a request.
+func (s *testServer) openConns(t *testing.T) (busy *testClient, id core.RequestID, idle, half *testClient) {
+	t.Helper()
+	busy, idle, half = s.connect(t), s.connect(t), s.connect(t)
+	busy.send(validRequest)
+	id = (<-s.events).(*core.RequestReceived).ID
+	idle.requestReady()
+	half.send(validHead)
+	s.awaitState(stateIdle, 1)
+	s.awaitReaderBlocked()
+	return busy, id, idle, half
+}
+
+// expectNoRequest checks that no request was read since the events were received last.
+func (s *testServer) expectNoRequest(t *testing.T) {
+	t.Helper()
+	for len(s.events) > 0 {
+		if ev, ok := (<-s.events).(*core.RequestReceived); ok {
+			t.Errorf("request was read at the end of Close: %+v", ev)
+		}
+	}
+}
+
 // Shortly before the end of Close the server stops reading requests. Requests that are complete by then are answered.
 // Later ones are not read or forwarded, and their clients see that the connection is closed.
 func TestNoReadsShortlyBeforeClose(t *testing.T) {
@@ -153,14 +176,9 @@
 	server := newTestServer(l)
 	server.finalReadMargin, server.server.ReadHeaderTimeout = time.Hour, time.Hour
 	server.run(t, l)
-	busy, idle, silent, half := server.connect(t), server.connect(t), server.connect(t), server.connect(t)
-	busy.send(validRequest)
-	id := (<-server.events).(*core.RequestReceived).ID
-	idle.requestReady()
-	half.send(validHead)
-	server.awaitState(stateIdle, 1)
+	silent := server.connect(t)
 	server.awaitState(stateNew, 1)
-	server.awaitReaderBlocked()
+	busy, id, idle, half := server.openConns(t)
 	closed := make(chan bool)
 	go func() { server.Close(time.Minute); close(closed) }()
 	for _, client := range []*testClient{idle, silent, half} {
@@ -171,11 +189,7 @@
 	busy.expectRejected()
 	busy.close()
 	<-closed
-	for len(server.events) > 0 {
-		if ev, ok := (<-server.events).(*core.RequestReceived); ok {
-			t.Errorf("request was read shortly before the end of Close: %+v", ev)
-		}
-	}
+	server.expectNoRequest(t)
 }
 
 // A process that was suspended as the time of Close ended still writes the responses that were due meanwhile: closing
@@ -208,13 +222,7 @@
 	server.finalResponsePolls, server.server.ReadHeaderTimeout = 1<<30, time.Hour
 	server.finalReadMargin = -time.Hour // as if the timeout were handled before the end of reading
 	server.run(t, l)
-	busy, idle, half := server.connect(t), server.connect(t), server.connect(t)
-	busy.send(validRequest)
-	id := (<-server.events).(*core.RequestReceived).ID
-	idle.requestReady()
-	half.send(validHead)
-	server.awaitState(stateIdle, 1)
-	server.awaitReaderBlocked()
+	busy, id, idle, half := server.openConns(t)
 	closed := make(chan bool)
 	go func() { server.Close(0); close(closed) }()
 	for _, client := range []*testClient{idle, half} {
@@ -224,11 +232,7 @@
 	server.reject(id)
 	busy.expectRejected()
 	<-closed
-	for len(server.events) > 0 {
-		if ev, ok := (<-server.events).(*core.RequestReceived); ok {
-			t.Errorf("request was read at the end of Close: %+v", ev)
-		}
-	}
+	server.expectNoRequest(t)
 }
 
 // A request that never gets a response does not keep Close from returning.
