--- a/internal/processharness/process.go
+++ b/internal/processharness/process.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -125,3 +128,19 @@
 	defer b.mu.Unlock()
 	return b.buffer.String()
 }
+
+// MemoryKB returns the memory of the process in KB as the operating system counts it, at present and at its peak. Both are
+// 0 for a process that has ended.
+func (p *Process) MemoryKB() (present, peak int) {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Cmd.Process.Pid)) // fails for a process that has ended
+	for line := range strings.Lines(string(status)) {
+		switch fields := strings.Fields(line); {
+		case len(fields) < 2:
+		case fields[0] == "VmRSS:":
+			present, _ = strconv.Atoi(fields[1])
+		case fields[0] == "VmHWM:":
+			peak, _ = strconv.Atoi(fields[1])
+		}
+	}
+	return present, peak
+}
