Count and log the reasons of closes, local replies and retries, with request IDs

Change: closes, local replies and retries have typed reasons, in the counters line and as metrics with a label; the admission controller's Reject and Fail state theirs. At the debug level each step of a request is a line with its call ID. Tests of the server's events now compare the reason as well.

--- a/internal/admin/collector.go
+++ b/internal/admin/collector.go
@@ -21,6 +21,13 @@
 	unavailableDesc = desc("router_members_unavailable", "backends in the endpoint list that are draining or ejected")
 )
 
+// Descriptions of the metrics with one value per reason. A reason without a count has no value.
+var (
+	closesDesc  = reasonDesc("router_client_connections_closed_total", "client connections that were closed, or ended before a request was read")
+	repliesDesc = reasonDesc("router_local_replies_total", "requests that were answered without a response of a backend")
+	retriedDesc = reasonDesc("router_retries_total", "retries, by the result of the attempt before")
+)
+
 func desc(name, help string) *prometheus.Desc { return prometheus.NewDesc(name, help, nil, nil) }
 
 // classDesc describes a metric with one value per request class.
@@ -28,6 +35,11 @@
 	return prometheus.NewDesc(name, help, []string{"lane"}, nil)
 }
 
+// reasonDesc describes a metric with one value per reason.
+func reasonDesc(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc(name, help, []string{"reason"}, nil)
+}
+
 // A collector collects the metrics that were published last, and the current number of attempts written.
 type collector struct {
 	published       *atomic.Pointer[core.Metrics]
@@ -38,6 +50,7 @@
 func (c *collector) Describe(descs chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		completedDesc, rejectedDesc, failedDesc, attemptsDesc, pendingDesc, backendsDesc, unavailableDesc,
+		closesDesc, repliesDesc, retriedDesc,
 	} {
 		descs <- d
 	}
@@ -55,6 +68,16 @@
 	metrics <- gauge(pendingDesc, published.Pending)
 	metrics <- gauge(backendsDesc, published.ListedBackends)
 	metrics <- gauge(unavailableDesc, published.Unavailable)
+	collectReasons(metrics, closesDesc, published.Closes.ByName())
+	collectReasons(metrics, repliesDesc, published.Replies.ByName())
+	collectReasons(metrics, retriedDesc, published.Retried.ByName())
+}
+
+// collectReasons collects a metric with one value per reason.
+func collectReasons(metrics chan<- prometheus.Metric, d *prometheus.Desc, countsByReason map[string]uint64) {
+	for reason, count := range countsByReason {
+		metrics <- counter(d, count, reason)
+	}
 }
 
 func counter(d *prometheus.Desc, value uint64, labels ...string) prometheus.Metric {
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"lemongate/internal/admission"
 	"lemongate/internal/core"
 )
 
@@ -127,3 +128,23 @@
 		t.Errorf("posted %+v, want no event", <-posted)
 	}
 }
+
+// The metrics show the reasons for which connections were closed, requests answered and attempts retried.
+func TestMetricsByReason(t *testing.T) {
+	s, address := serve(t)
+	var metrics core.Metrics
+	metrics.Closes[core.CloseTimeout] = 3
+	metrics.Replies[core.ReplyDisconnected] = 4
+	metrics.Retried[admission.Rejected] = 5
+	s.Publish(metrics)
+	_, body := call(t, address, "/stats")
+	for _, want := range []string{
+		`router_client_connections_closed_total{reason="timeout"} 3`,
+		`router_local_replies_total{reason="disconnected"} 4`,
+		`router_retries_total{reason="rejected"} 5`,
+	} {
+		if !strings.Contains(body, want) {
+			t.Errorf("the metrics lack %s", want)
+		}
+	}
+}
--- a/internal/admission/actions.go
+++ b/internal/admission/actions.go
@@ -19,10 +19,45 @@
 type Reject struct {
 	Request    RequestID
 	RetryAfter time.Duration // Retry-After, how long the client should wait before it retries; 0 for none
+	Reason     EndReason
 }
 
 // Fail answers a request that was not served but may have run on a backend.
-type Fail struct{ Request RequestID }
+type Fail struct {
+	Request RequestID
+	Reason  EndReason
+}
+
+// EndReason is the reason for which a request ends without a response of a backend.
+type EndReason uint8
+
+const (
+	// EndUnknown is the reason of an action that states none.
+	EndUnknown EndReason = iota
+	// EndOverQuota means that the request exceeds the quota, the ceiling or the slots of its customer.
+	EndOverQuota
+	// EndWindowFull means that the window is full and the queue too long.
+	EndWindowFull
+	// EndQueueTimeout means that the request was queued until a response could no longer be in time.
+	EndQueueTimeout
+	// EndNotRetried means that an attempt failed, and there is no further one.
+	EndNotRetried
+	// EndUnknownClass means that the class is not in the settings.
+	EndUnknownClass
+	// EndTooLate means that a response was of no use any more when the request arrived.
+	EndTooLate
+	// EndShuttingDown means that the limiter shuts down, and other limiters have its customers' quotas.
+	EndShuttingDown
+	// NumEndReasons is the number of reasons.
+	NumEndReasons
+)
+
+// String returns the name that logs and metrics use.
+func (r EndReason) String() string {
+	return [...]string{
+		"undecided", "over_quota", "window_full", "queue_timeout", "not_retried", "unknown_class", "too_late", "shutting_down",
+	}[r]
+}
 
 // CancelAttempt cancels an attempt. The caller still reports its AttemptFinished.
 type CancelAttempt struct {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,7 +27,7 @@
 func (ctl *Controller) admit(ev *Request) {
 	class := ctl.classes.byName[ev.Class]
 	if class == nil {
-		ctl.emit(Reject{Request: ev.ID})
+		ctl.emit(Reject{Request: ev.ID, Reason: EndUnknownClass})
 		return
 	}
 	r := &request{
@@ -35,11 +35,11 @@
 	}
 	r.usefulUntil = min(r.receivedAt+class.LatencyObjective, r.deadline) - ctl.recordClientBudget(class, ev)
 	if r.usefulUntil <= ctl.now {
-		ctl.emit(Reject{Request: ev.ID, RetryAfter: ctl.settings.MaxRetryAfter})
+		ctl.emit(Reject{Request: ev.ID, RetryAfter: ctl.settings.MaxRetryAfter, Reason: EndTooLate})
 		return
 	}
 	if ctl.customers.shuttingDown && r.customer.plan.limitsRate() {
-		ctl.emit(Reject{Request: ev.ID}) // its units may be in use at another limiter already
+		ctl.emit(Reject{Request: ev.ID, Reason: EndShuttingDown}) // its units may be in use at another limiter already
 		return
 	}
 	ctl.requests[ev.ID] = r
@@ -64,7 +64,7 @@
 func (ctl *Controller) onQuotaDecision(r *request, granted bool, wait time.Duration) {
 	if !granted {
 		ctl.rejections.OverQuota++
-		ctl.emit(Reject{Request: r.ID, RetryAfter: min(max(wait, 0), ctl.settings.MaxRetryAfter)})
+		ctl.emit(Reject{Request: r.ID, RetryAfter: min(max(wait, 0), ctl.settings.MaxRetryAfter), Reason: EndOverQuota})
 		ctl.release(r)
 		return
 	}
@@ -86,7 +86,7 @@
 		return false
 	}
 	ctl.rejections.WindowFull++
-	ctl.endUnserved(r)
+	ctl.endUnserved(r, EndWindowFull)
 	return true
 }
 
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -57,7 +57,7 @@
 		c.queue = c.queue[1:]
 		if !r.ended {
 			ctl.rejections.QueueTimeout++
-			ctl.endUnserved(r)
+			ctl.endUnserved(r, EndQueueTimeout)
 		}
 	}
 }
@@ -76,7 +76,7 @@
 				continue
 			}
 			ctl.rejections.QueueTimeout++
-			ctl.endUnserved(r)
+			ctl.endUnserved(r, EndQueueTimeout)
 		}
 	}
 }
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -89,8 +89,17 @@
 	// ConnectFailed means that no connection was established in time, or that it broke before the request
 	// was written; the attempt never ran.
 	ConnectFailed
+	// NumResults is the number of results.
+	NumResults
 )
 
+// String returns the name that logs and metrics use.
+func (r Result) String() string {
+	return [...]string{
+		"succeeded", "errored", "rejected", "timed_out", "unreachable", "connection_lost", "canceled", "not_sent", "connect_failed",
+	}[r]
+}
+
 // NeverRan reports whether a result proves that the attempt never ran.
 func (r Result) NeverRan() bool {
 	return r == Rejected || r == Unreachable || r == NotSent || r == ConnectFailed
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -74,11 +74,11 @@
 
 // endUnserved ends a request that no backend served: it rejects the request if the client may safely send it again, and
 // fails it otherwise.
-func (ctl *Controller) endUnserved(r *request) {
+func (ctl *Controller) endUnserved(r *request, reason EndReason) {
 	if r.safeForClientToRetry() {
-		ctl.emit(Reject{Request: r.ID, RetryAfter: ctl.settings.MaxRetryAfter})
+		ctl.emit(Reject{Request: r.ID, RetryAfter: ctl.settings.MaxRetryAfter, Reason: reason})
 	} else {
-		ctl.emit(Fail{Request: r.ID})
+		ctl.emit(Fail{Request: r.ID, Reason: reason})
 	}
 	ctl.recordCompletion(r)
 	ctl.release(r)
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -43,7 +43,7 @@
 func (ctl *Controller) retry(r *request, cost float64) {
 	if !ctl.shouldRetry(r, cost) {
 		ctl.rejections.NotRetried++
-		ctl.endUnserved(r)
+		ctl.endUnserved(r, EndNotRetried)
 		return
 	}
 	b := ctl.selectBackend(r)
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -73,6 +73,7 @@
 // recordNotSent counts an attempt as not sent and notifies the admission controller.
 func (m *Machine) recordNotSent(r *request, id AttemptID, backend string) {
 	m.counters.NotSent++
+	r.lastResult = admission.NotSent
 	m.stepController(&admission.AttemptFinished{
 		Request: r.ID, Attempt: id.Number, Backend: backend, Result: admission.NotSent, Final: r.answered,
 	})
@@ -82,7 +83,9 @@
 	m.counters.AttemptsStarted++
 	if id.Number > 0 {
 		m.counters.Retries++
+		m.counters.Retried[r.lastResult]++
 	}
+	m.trace(r, TraceRequest{Step: TraceAttemptStarted, Attempt: id, Backend: action.Backend})
 	r.openAttempts++
 	m.attempts[id] = &attempt{request: r, backend: action.Backend, startedAt: m.now, underLease: action.Recovery}
 }
@@ -159,6 +162,8 @@
 	latency := m.now - a.startedAt
 	delete(m.attempts, id)
 	r.openAttempts--
+	r.lastResult = result
+	m.trace(r, TraceRequest{Step: TraceAttemptFinished, Attempt: id, Backend: a.backend, Result: result})
 	if !r.mayHaveRun && !result.NeverRan() {
 		r.mayHaveRun = true
 		m.recordUsage(&r.Request) // also after the state was sent to a successor: this process may admit requests again
--- a/internal/core/controller.go
+++ b/internal/core/controller.go
@@ -42,9 +42,9 @@
 	case admission.StartAttempt:
 		m.startAttempt(action)
 	case admission.Reject:
-		m.endRequest(action.Request, Respond{Kind: Rejected, RetryAfter: action.RetryAfter})
+		m.endRequest(action.Request, Respond{Kind: Rejected, RetryAfter: action.RetryAfter, Reason: admissionReply(action.Reason)})
 	case admission.Fail:
-		m.endRequest(action.Request, Respond{Kind: Failed})
+		m.endRequest(action.Request, Respond{Kind: Failed, Reason: admissionReply(action.Reason)})
 	case admission.CancelAttempt:
 		m.cancelAttempt(AttemptID{action.Request, action.Attempt})
 	case admission.SetTimer:
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -68,6 +68,10 @@
 	Rejections admission.RejectionCounts `json:"turned"` // local replies by cause
 	Quota      quota.Counters            `json:"quota"`  // of customers' quotas and ceilings
 	Usage      UsageCounts               `json:"rollup"` // of usage reports
+
+	Closes  CloseCounts `json:"closes,omitzero" since:"0.9.5"`        // closed client connections by reason
+	Replies ReplyCounts `json:"replies,omitzero" since:"0.9.5"`       // local replies by reason
+	Retried RetryCounts `json:"retried_after,omitzero" since:"0.9.5"` // retries by the result of the attempt before
 }
 
 // Counters returns the current values of the counters.
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lemongate/internal/admission"
 	"lemongate/internal/hotrestart"
 )
 
@@ -17,6 +18,7 @@
 	Kind       ResponseKind
 	RetryAfter time.Duration // with Rejected; 0 for no Retry-After
 	Response   Content       // with Served
+	Reason     ReplyReason   `since:"0.9.5"` // except with Served; unknown if a successor sent the response
 }
 
 // ResponseKind is the kind of response with which a request ends.
@@ -33,6 +35,11 @@
 	DuplicateID
 )
 
+// String returns the name that the log uses.
+func (k ResponseKind) String() string {
+	return [...]string{"served", "rejected", "failed", "duplicate ID"}[k]
+}
+
 // SetReady sets whether the health check reports this process as ready for clients.
 type SetReady struct{ Ready bool }
 
@@ -111,6 +118,38 @@
 // PublishMetrics publishes metrics. The receiver may retain them.
 type PublishMetrics struct{ Metrics Metrics }
 
+// TraceRequest describes a step of a request for the debug log. It is emitted only if Config.TracesRequests is set.
+type TraceRequest struct {
+	Step    TraceStep
+	CallID  string
+	Attempt AttemptID        // only its Request is set unless the step is one of an attempt
+	Backend string           // ID, if the step is one of an attempt
+	Result  admission.Result // with TraceAttemptFinished
+	Kind    ResponseKind     // with TraceAnswered
+	Reason  ReplyReason      // with TraceAnswered
+}
+
+// TraceStep is a step in the life of a request.
+type TraceStep uint8
+
+const (
+	// TraceReceived means that the request was received completely.
+	TraceReceived TraceStep = iota
+	// TraceAttemptStarted means that an attempt was started.
+	TraceAttemptStarted
+	// TraceAttemptFinished means that an attempt ended.
+	TraceAttemptFinished
+	// TraceDisconnected means that the client disconnected.
+	TraceDisconnected
+	// TraceAnswered means that the final response was decided.
+	TraceAnswered
+)
+
+// String returns the name that the log uses.
+func (s TraceStep) String() string {
+	return [...]string{"received", "attempt started", "attempt finished", "client disconnected", "answered"}[s]
+}
+
 // Log writes a message to the log.
 type Log struct{ Text string }
 
@@ -219,6 +258,7 @@
 func (ReloadConfig) effect()             {}
 func (WriteUsage) effect()               {}
 func (PublishMetrics) effect()           {}
+func (TraceRequest) effect()             {}
 func (Log) effect()                      {}
 func (Exit) effect()                     {}
 func (Abort) effect()                    {}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -76,6 +76,7 @@
 type ClientConnClosed struct {
 	Unread    bool // no request had arrived on it, or part of one was unread
 	OverLimit bool // it was new and beyond the limit, and was answered with Retry-After
+	Reason    CloseReason
 }
 
 // ServerClosed reports that the server has closed, as CloseServer requested. The process stops.
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -136,7 +136,7 @@
 	m.stepController(admission.EpochRenewed{Epoch: m.config.Epoch})
 	for _, r := range m.requests.inOrder() {
 		if r.forwarded && !r.answered {
-			m.endUnserved(r)
+			m.endUnserved(r, ReplyHandoverFailed)
 		}
 	}
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -31,6 +31,7 @@
 
 	Discovery        string // address at which the endpoint list is watched
 	PublishesMetrics bool   // whether to emit PublishMetrics
+	TracesRequests   bool   // whether to emit TraceRequest
 
 	KnownGeneration int64              // of KnownEndpoints
 	HotRestart      *hotrestart.Limits // time limits of hot restarts; nil for no hot restart
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -30,6 +30,10 @@
 	Unavailable    int             // those of ListedBackends that drain or that the admission controller avoids
 	Leases         []lease.View    // by task
 	RestartSlots   RestartSlotView // of the rolling restart
+
+	Closes  CloseCounts `since:"0.9.5"` // closed client connections by reason
+	Replies ReplyCounts `since:"0.9.5"` // local replies by reason
+	Retried RetryCounts `since:"0.9.5"` // retries by the result of the attempt before
 }
 
 // metricsState is the counts by class, and when metrics were last published.
@@ -92,6 +96,9 @@
 		ListedBackends: len(m.endpoints.byID),
 		Leases:         m.Leases(),
 		RestartSlots:   m.RestartSlots(),
+		Closes:         m.counters.Closes,
+		Replies:        m.counters.Replies,
+		Retried:        m.counters.Retried,
 	}
 	for id, endpoint := range m.endpoints.byID {
 		if endpoint.State != admission.Live || m.admission.controller.AvoidsBackend(id) {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -29,11 +29,12 @@
 	deadline        time.Duration // clock time by which it is answered
 	attempts        int           // number of attempts so far
 	openAttempts    int           // those of them in flight
-	mayHaveRun      bool          // at a backend
-	succeeded       bool          // an attempt got a response
-	answered        bool          // a response was sent, or the client has disconnected
-	fromPredecessor bool          // the predecessor received it, and answers its client
-	forwarded       bool          // it was forwarded to the successor, which admits or rejects it
+	lastResult      admission.Result
+	mayHaveRun      bool // at a backend
+	succeeded       bool // an attempt got a response
+	answered        bool // a response was sent, or the client has disconnected
+	fromPredecessor bool // the predecessor received it, and answers its client
+	forwarded       bool // it was forwarded to the successor, which admits or rejects it
 }
 
 // requestSet is the set of requests without a response or with an attempt in flight.
@@ -75,7 +76,7 @@
 	if ev.Disconnected {
 		m.counters.Received++
 		m.counters.ClientsDisconnected++
-		m.emit(m.rejection(ev.ID))
+		m.sendResponse(false, m.rejection(ev.ID, ReplyDisconnected))
 		return
 	}
 	m.acceptRequest(ev, false)
@@ -86,7 +87,7 @@
 func (m *Machine) acceptRequest(ev *RequestReceived, fromPredecessor bool) {
 	if !m.claimCallID(ev) {
 		m.counters.Malformed[DuplicateCallID]++
-		m.sendResponse(fromPredecessor, Respond{Request: ev.ID, Kind: DuplicateID})
+		m.sendResponse(fromPredecessor, Respond{Request: ev.ID, Kind: DuplicateID, Reason: ReplyDuplicateID})
 		return
 	}
 	r := m.newRequest(ev, fromPredecessor)
@@ -95,6 +96,7 @@
 		m.requests.pending++
 	}
 	m.requests.byID[r.ID] = r
+	m.trace(r, TraceRequest{Step: TraceReceived})
 	m.timers.add(timer{at: r.deadline, kind: deadlineTimer, id: AttemptID{Request: r.ID}})
 	switch {
 	case m.hotRestart.forwarding:
@@ -161,11 +163,12 @@
 	if r.forwarded {
 		m.emit(CancelForwardedRequest{Request: id})
 	}
+	m.trace(r, TraceRequest{Step: TraceDisconnected})
 	r.answered = true
 	if !r.fromPredecessor {
 		m.counters.ClientsDisconnected++
 		m.requests.pending--
-		m.emit(m.localReply(r))
+		m.sendResponse(false, m.localReply(r, ReplyDisconnected))
 	}
 	m.stepController(&admission.RequestEnded{Request: id})
 	m.withdrawAttempts(r)
@@ -179,15 +182,15 @@
 		return
 	}
 	m.counters.Overdue++
-	m.endUnserved(r)
+	m.endUnserved(r, ReplyDeadline)
 }
 
 // endUnserved ends a request without a response of a backend by a local reply.
-func (m *Machine) endUnserved(r *request) {
+func (m *Machine) endUnserved(r *request, reason ReplyReason) {
 	if r.forwarded {
 		m.emit(CancelForwardedRequest{Request: r.ID})
 	}
-	m.respond(r, m.localReply(r))
+	m.respond(r, m.localReply(r, reason))
 	m.stepController(&admission.RequestEnded{Request: r.ID})
 	m.removeIfFinished(r)
 }
@@ -203,16 +206,16 @@
 }
 
 // localReply returns the response to a request that ends without a response of a backend.
-func (m *Machine) localReply(r *request) Respond {
+func (m *Machine) localReply(r *request, reason ReplyReason) Respond {
 	if r.mayBeRepeated() {
-		return m.rejection(r.ID)
+		return m.rejection(r.ID, reason)
 	}
-	return Respond{Request: r.ID, Kind: Failed}
+	return Respond{Request: r.ID, Kind: Failed, Reason: reason}
 }
 
 // rejection returns the response to a request that may be sent again.
-func (m *Machine) rejection(id RequestID) Respond {
-	return Respond{Request: id, Kind: Rejected, RetryAfter: m.config.Settings.MaxRetryAfter}
+func (m *Machine) rejection(id RequestID, reason ReplyReason) Respond {
+	return Respond{Request: id, Kind: Rejected, RetryAfter: m.config.Settings.MaxRetryAfter, Reason: reason}
 }
 
 // respond sends the response to a request, unless it has been answered. The caller removes the request if it is finished.
@@ -222,6 +225,7 @@
 	}
 	r.answered = true
 	response.Request = r.ID
+	m.trace(r, TraceRequest{Step: TraceAnswered, Kind: response.Kind, Reason: response.Reason})
 	m.sendResponse(r.fromPredecessor, response)
 	if r.fromPredecessor {
 		return // the predecessor counts the response
@@ -236,9 +240,21 @@
 		m.emit(SendForwardedResponse{response})
 		return
 	}
+	if response.Kind != Served {
+		m.counters.Replies[response.Reason]++
+	}
 	m.emit(response)
 }
 
+// trace emits a step of a request for the debug log.
+func (m *Machine) trace(r *request, step TraceRequest) {
+	if !m.config.TracesRequests {
+		return
+	}
+	step.CallID, step.Attempt.Request = r.CallID, r.ID
+	m.emit(step)
+}
+
 // removeIfFinished deletes a request that is answered and has no attempt in flight.
 func (m *Machine) removeIfFinished(r *request) {
 	if !r.answered || r.openAttempts > 0 {
@@ -251,6 +267,7 @@
 
 // onClientConnClosed counts a client connection that the server closed by itself.
 func (m *Machine) onClientConnClosed(ev *ClientConnClosed) {
+	m.counters.Closes[ev.Reason]++
 	switch {
 	case ev.OverLimit:
 		m.counters.ConnsRejected++
--- a/internal/core/requests_test.go
+++ b/internal/core/requests_test.go
@@ -60,7 +60,7 @@
 	}
 	send(1)
 	second := send(2)
-	if len(second) != 1 || second[0] != (Respond{Request: 2, Kind: DuplicateID}) || len(m.requests.byID) != 1 {
+	if len(second) != 1 || second[0] != (Respond{Request: 2, Kind: DuplicateID, Reason: ReplyDuplicateID}) || len(m.requests.byID) != 1 {
 		t.Errorf("the second request caused %+v, want only DuplicateID, and one request kept", second)
 	}
 	finished := &AttemptFinished{Attempt: AttemptID{1, 0}, Result: admission.Succeeded}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -117,7 +117,9 @@
 		initTransferCodecs()
 	}
 	var effects []core.Effect
-	l.core, effects = core.New(l.now(), l.config.Core())
+	coreConfig := l.config.Core()
+	coreConfig.TracesRequests = l.log.Core().Enabled(zap.DebugLevel)
+	l.core, effects = core.New(l.now(), coreConfig)
 	l.performEffects(effects)
 }
 
@@ -212,6 +214,8 @@
 		go l.writeUsage(e) // ends once the disk has answered and the outcome is posted
 	case core.Log:
 		l.log.Info(e.Text)
+	case core.TraceRequest:
+		l.logTrace(e)
 	case core.Exit:
 		l.exit = true
 	default:
@@ -248,6 +252,23 @@
 	l.post(&core.ConfigReloaded{Discovery: c.DiscoveryAddr})
 }
 
+// logTrace logs a step of a request at the debug level.
+func (l *Loop) logTrace(e core.TraceRequest) {
+	fields := []zap.Field{zap.Uint64("request", uint64(e.Attempt.Request)), zap.String("call_id", e.CallID)}
+	switch e.Step {
+	case core.TraceAttemptStarted:
+		fields = append(fields, zap.Int("attempt", e.Attempt.Number), zap.String("backend", e.Backend))
+	case core.TraceAttemptFinished:
+		fields = append(fields, zap.Int("attempt", e.Attempt.Number), zap.String("backend", e.Backend), zap.Stringer("result", e.Result))
+	case core.TraceAnswered:
+		fields = append(fields, zap.Stringer("kind", e.Kind))
+		if e.Kind != core.Served {
+			fields = append(fields, zap.Stringer("reason", e.Reason))
+		}
+	}
+	l.log.Debug("request "+e.Step.String(), fields...)
+}
+
 // logCounters logs a line that scripts read: its message and its keys must not change.
 func (l *Loop) logCounters() {
 	clientConns := 0
--- a/internal/httpserver/accept_test.go
+++ b/internal/httpserver/accept_test.go
@@ -34,7 +34,7 @@
 		if server.connSet().admit(accepted, stateNew) != nil {
 			t.Error("admitted a connection beyond the limit")
 		}
-		if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{OverLimit: true}) {
+		if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{OverLimit: true, Reason: core.CloseRejected}) {
 			t.Errorf("posted %+v, want ClientConnClosed with OverLimit", ev)
 		}
 		if resp, _ := late.response(); resp.StatusCode != 429 || !resp.Close {
@@ -77,7 +77,7 @@
 	late := newTestClient(t, dialed)
 	late.send(validRequest)
 	late.expectClose()
-	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true}) {
+	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true, Reason: core.CloseRejectedUnread}) {
 		t.Errorf("posted %+v, want ClientConnClosed with Unread", ev)
 	}
 	server.reject(id)
--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"lemongate/internal/core"
 	"lemongate/internal/rawread"
 )
 
@@ -33,6 +34,7 @@
 	requestStartedAt time.Time     // start of the time for the next request: connect, last response or its first byte
 	hasRequestBytes  bool          // part of the next request was read
 	readAhead        []byte        // bytes read beyond a request in progress, for the next reads of net/http
+	readErr          error         // of the last read that failed
 	readerBlocked    bool          // net/http is waiting at the socket for more bytes, so it has no complete request
 }
 
@@ -117,7 +119,12 @@
 	if c.raw == nil {
 		return c.readWithoutSocket(p)
 	}
-	return c.readSocket(p)
+	if n, err = c.readSocket(p); err != nil {
+		c.set.mu.Lock()
+		c.readErr = err
+		c.set.mu.Unlock()
+	}
+	return n, err
 }
 
 // isBackgroundRead reports whether a read is the one with which net/http detects that the client disconnects while
@@ -262,7 +269,7 @@
 func (c *clientConn) CloseWrite() error {
 	previous := c.setState(stateLingering)
 	if previous == stateReading { // net/http has answered a request that it could not parse
-		c.set.onClosed(previous)
+		c.set.onClosed(previous, core.CloseUnparsable)
 	}
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return conn.CloseWrite()
@@ -270,11 +277,24 @@
 	return nil
 }
 
+// endReason returns the reason for which the connection ends before a complete request was read.
+func (c *clientConn) endReason() core.CloseReason {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	switch {
+	case c.readErr == nil:
+		return core.CloseUnparsable
+	case errors.Is(c.readErr, os.ErrDeadlineExceeded):
+		return core.CloseTimeout
+	}
+	return core.CloseByClient
+}
+
 // Close implements net.Conn. It reports a connection that is closed before a complete request was read.
 func (c *clientConn) Close() error {
 	previous := c.setState(stateClosed)
 	if previous == stateNew || previous == stateReading {
-		c.set.onClosed(previous)
+		c.set.onClosed(previous, c.endReason())
 	}
 	return c.Conn.Close()
 }
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lemongate/internal/core"
 )
 
 // A connState is the state of a client connection.
@@ -44,7 +46,7 @@
 	// onClosed is called for each evicted connection, and for each other connection that is closed in stateNew or
 	// stateReading, even if its client has closed it. It is not called for idle connections that net/http's idle
 	// timeout or their clients close, nor for connections that drain, stopReading, mustClose or tryMove close.
-	onClosed         func(previous connState)
+	onClosed         func(previous connState, reason core.CloseReason)
 	onRejected       func(notified bool) // called for each rejected new connection: whether its client was notified
 	rejection        []byte              // the response to the request of a rejected connection
 	rejectionTimeout time.Duration       // time to wait for that request
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -1,6 +1,10 @@
 package httpserver
 
-import "time"
+import (
+	"time"
+
+	"lemongate/internal/core"
+)
 
 // This file evicts client connections: it closes connections to make room for new ones when the set is full, and
 // idle connections when the set is crowded.
@@ -35,8 +39,21 @@
 	}
 	_ = e.Conn.Close()               // the connection has ended even if this fails
 	if e.previous != stateRejected { // reject reports rejected connections
-		e.set.onClosed(e.previous)
+		e.set.onClosed(e.previous, evictionReason(e.previous))
+	}
+}
+
+// evictionReason returns the reason for which a connection was evicted from a state.
+func evictionReason(previous connState) core.CloseReason {
+	switch previous {
+	case stateNew:
+		return core.CloseSilent
+	case stateReading:
+		return core.CloseIncomplete
+	case stateLingering:
+		return core.CloseLingering
 	}
+	return core.CloseIdle
 }
 
 // evictLeastUseful evicts the first connection that it finds in this order: a lingering one; one that has been idle
--- a/internal/httpserver/evict_test.go
+++ b/internal/httpserver/evict_test.go
@@ -19,7 +19,7 @@
 	regular := server.connect(t)
 	regular.requestReady()
 	first.expectClose()
-	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true}) {
+	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true, Reason: core.CloseSilent}) {
 		t.Errorf("posted %+v, want ClientConnClosed with Unread", ev)
 	}
 	second.requestReady()
@@ -45,7 +45,7 @@
 		next := server.connect(t)
 		next.send(strings.Replace(validRequest, "9b1f", "0000", 1))
 		client.expectClose()
-		if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{}) {
+		if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Reason: core.CloseIdle}) {
 			t.Errorf("posted %+v, want ClientConnClosed of an idle connection", ev)
 		}
 		if _, ok := (<-server.events).(*core.RequestReceived); !ok {
@@ -53,7 +53,7 @@
 		}
 	}
 	server.connect(t).expectClose() // sends nothing within the rejection timeout
-	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true}) {
+	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true, Reason: core.CloseRejectedUnread}) {
 		t.Errorf("posted %+v, want ClientConnClosed with Unread", ev)
 	}
 	server.setRejectionTimeout(time.Minute)
@@ -66,7 +66,7 @@
 		t.Errorf("response %+v, want status 429, Retry-After 0.500 and the connection closed", resp)
 	}
 	late.expectClose()
-	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{OverLimit: true}) {
+	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{OverLimit: true, Reason: core.CloseRejected}) {
 		t.Errorf("posted %+v, want ClientConnClosed with OverLimit", ev)
 	}
 	var rejected []*testClient
@@ -78,7 +78,7 @@
 		client.expectClose()
 	}
 	for range 2 { // each connection is reported once
-		if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true}) {
+		if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true, Reason: core.CloseRejectedUnread}) {
 			t.Errorf("posted %+v, want ClientConnClosed with Unread", ev)
 		}
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -148,11 +148,15 @@
 // Serve accepts clients from a listener until Close, and closes the listener.
 func (s *Server) Serve(listener net.Listener) error {
 	conns := newConnSet(listener, s.options.MaxConns, s.options.WallClock)
-	conns.onClosed = func(previous connState) {
-		s.options.Post(&core.ClientConnClosed{Unread: previous == stateNew || previous == stateReading})
+	conns.onClosed = func(previous connState, reason core.CloseReason) {
+		s.options.Post(&core.ClientConnClosed{Unread: previous == stateNew || previous == stateReading, Reason: reason})
 	}
 	conns.onRejected = func(notified bool) {
-		s.options.Post(&core.ClientConnClosed{Unread: !notified, OverLimit: notified})
+		reason := core.CloseRejectedUnread
+		if notified {
+			reason = core.CloseRejected
+		}
+		s.options.Post(&core.ClientConnClosed{Unread: !notified, OverLimit: notified, Reason: reason})
 	}
 	conns.rejection = s.connRejection()
 	s.mu.Lock()
