Pass only whole heads of at most 100 fields to net/http

Cause: net/http builds the map of fields while a head arrives, some hundred bytes for each field, and bounds a head by its length alone: 16 KiB hold 4,000 fields. It did so for each connection at once.

Change: clientConn finds the end of each request itself (framing.go, pure), and passes nothing of a head before it is complete and within the limits. A longer head, or one of more fields, is answered with 431 and a close. Where a head does not state its length in the usual form, its connection is closed after the response, so that net/http and the scanner cannot disagree on the next one. Reads fail with net.OpError, as net/http expects. Reading has a file of its own.

--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -10,7 +10,7 @@
 
 // ServeHTTP serves one request of a client connection.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	if s.draining.Load() || !connOf(r).knowsRequestEnd() {
 		closeAfterResponse(w)
 	}
 	if r.RequestURI == "/ready" && r.Method == http.MethodGet {
--- /dev/null
+++ b/internal/httpserver/input.go
@@ -0,0 +1,232 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"lemongate/internal/rawread"
+)
+
+// This file reads from client connections.
+
+const (
+	// maxReadAhead is the number of bytes read beyond a request in progress at which reading ahead stops; the last read
+	// may exceed it.
+	maxReadAhead = 16 << 10
+	// standInRequest takes the place of a request whose head exceeds the limits: net/http reads this one, and ServeHTTP
+	// answers it as too large.
+	standInRequest = "GET / HTTP/1.1\r\nHost: too-large\r\n\r\n"
+)
+
+// errInputDiscarded means that nothing more of a connection is read, as the start of the next request is not known.
+var errInputDiscarded = errors.New("input is discarded")
+
+// Read implements net.Conn. Reading and the state change that follows are one step under set.mu. So if a connection
+// is closed between requests, no byte of the next request was read, and a reset tells the client that it may resend
+// that request. The connection states of net/http are not sufficient for this: net/http considers a connection idle
+// until it has read a complete head, and would close some connections with a request in its buffer.
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if n = c.takeBuffered(p); n > 0 {
+		return n, nil
+	}
+	if c.tryMove() {
+		return 0, io.EOF // closed in this process, open in the other one
+	}
+	if c.raw == nil {
+		return c.readWithoutSocket(p)
+	}
+	if n, err = c.readSocket(p); err != nil {
+		c.set.mu.Lock()
+		c.readErr = err
+		c.set.mu.Unlock()
+	}
+	return n, err
+}
+
+// isBackgroundRead reports whether a read is the one with which net/http detects that the client disconnects while
+// a request is served: it reads a single byte.
+func isBackgroundRead(p []byte) bool { return len(p) == 1 }
+
+// takeBuffered copies buffered bytes that net/http may have to p. It also detects that the connection is idle: net/http
+// reads again only when its buffer is empty, so if no byte of the next request was read by then, that request has not begun.
+func (c *clientConn) takeBuffered(p []byte) (n int) {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	switch {
+	case isBackgroundRead(p) || c.state == stateClosed:
+	case len(c.input.buffered) > 0:
+		c.hasRequestBytes = true
+		n = c.passInput(p, c.input.take(p))
+	case c.state == stateReading && !c.hasRequestBytes:
+		c.setStateLocked(stateIdle)
+	}
+	return n
+}
+
+// passInput returns the number of bytes at p that net/http gets: n, or those of the request that takes the place of one whose
+// head exceeds the limits. The caller holds set.mu.
+func (c *clientConn) passInput(p []byte, n int) int {
+	if n > 0 || !c.input.tooLarge || !c.input.endKnown() { // otherwise it has taken its place already
+		return n
+	}
+	c.input.replace(standInRequest)
+	return c.input.take(p)
+}
+
+func (c *clientConn) readWithoutSocket(p []byte) (n int, err error) {
+	for n == 0 && err == nil {
+		n, err = c.Conn.Read(p)
+		c.set.mu.Lock()
+		c.recordRead(n)
+		if !isBackgroundRead(p) {
+			n = c.passReceived(p, p[:n])
+		}
+		c.set.mu.Unlock()
+	}
+	return n, err
+}
+
+// passReceived returns the number of bytes at p that net/http gets after bytes were received, and buffers the others. The
+// received bytes are at the start of p if nothing was buffered. The caller holds set.mu.
+func (c *clientConn) passReceived(p, received []byte) int {
+	if len(c.input.buffered) == 0 {
+		return c.passInput(p, c.input.receive(received))
+	}
+	c.input.add(received)
+	return c.passInput(p, c.input.take(p))
+}
+
+// readSocket waits for input and reads it. If the deadline has passed it reads once more without waiting: the
+// process may have been suspended, and the input may have arrived before the deadline.
+func (c *clientConn) readSocket(p []byte) (n int, err error) {
+	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
+		n, err = c.receive(fd, p)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	if errors.Is(waitErr, os.ErrDeadlineExceeded) {
+		if c.tryMove() {
+			return 0, io.EOF
+		}
+		controlErr := c.raw.Control(func(fd uintptr) { n, err = c.receive(fd, p) })
+		if controlErr == nil && !errors.Is(err, syscall.EAGAIN) {
+			waitErr = nil
+		}
+	}
+	switch {
+	case waitErr != nil:
+		c.set.mu.Lock()
+		c.readerBlocked = false
+		c.set.mu.Unlock()
+		return 0, waitErr
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// receive reads what is in the socket, and fails with syscall.EAGAIN if the socket has nothing that net/http may have.
+// While a request is in progress it reads ahead, because unread bytes after that request would hide that the client has
+// disconnected.
+func (c *clientConn) receive(fd uintptr, p []byte) (n int, err error) {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.readerBlocked = false
+	if c.mustClose(p) {
+		c.setStateLocked(stateClosed)
+	}
+	switch {
+	case c.state == stateClosed:
+		return 0, net.ErrClosed
+	case c.input.tooLarge:
+		return 0, errInputDiscarded
+	case isBackgroundRead(p):
+		return c.receiveAhead(fd, p)
+	case c.input.passable > 0: // net/http may have all of what it reads
+		n, err = rawread.Nonblocking(fd, p[:min(len(p), c.input.passable)])
+		c.recordRead(n)
+		c.input.countPassed(n)
+	default:
+		n, err = c.receiveHead(fd, p)
+	}
+	c.readerBlocked = errors.Is(err, syscall.EAGAIN)
+	return n, err
+}
+
+// receiveHead reads until the head of the next request is complete, or the socket is empty. The caller holds set.mu.
+func (c *clientConn) receiveHead(fd uintptr, p []byte) (n int, err error) {
+	for n == 0 {
+		into := p
+		if len(c.input.buffered) > 0 {
+			into = c.set.scratch[:]
+		}
+		received, err := rawread.Nonblocking(fd, into)
+		if received == 0 {
+			return 0, err
+		}
+		c.recordRead(received)
+		n = c.passReceived(p, into[:received])
+	}
+	return n, nil
+}
+
+// mustClose reports whether a shutdown requires the connection to be closed instead of read. The caller holds set.mu.
+func (c *clientConn) mustClose(p []byte) bool {
+	if c.set.draining && c.state == stateIdle && !c.hasInput() {
+		return true
+	}
+	return c.set.readsStopped && !isBackgroundRead(p)
+}
+
+// receiveAhead buffers all bytes in the socket. Once maxReadAhead bytes are buffered, receiveAhead returns the first of them,
+// which ends net/http's background read. Until then it returns no byte but the error of the last read, which is nil at the
+// end of the stream. The caller holds set.mu.
+func (c *clientConn) receiveAhead(fd uintptr, p []byte) (n int, err error) {
+	for {
+		if len(c.input.buffered) >= maxReadAhead {
+			p[0] = c.input.takeByteAhead()
+			return 1, nil
+		}
+		n, err = rawread.Nonblocking(fd, c.set.scratch[:])
+		c.recordRead(n)
+		if n == 0 {
+			return 0, err
+		}
+		c.input.add(c.set.scratch[:n])
+	}
+}
+
+// isHeadTooLarge reports whether the head of the present request exceeds the limits.
+func (c *clientConn) isHeadTooLarge() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	return c.input.tooLarge
+}
+
+// knowsRequestEnd reports whether it is known where the present request ends and the next one begins.
+func (c *clientConn) knowsRequestEnd() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	return c.input.endKnown()
+}
+
+// recordRead updates the state after n bytes were read. The caller holds set.mu.
+func (c *clientConn) recordRead(n int) {
+	if n <= 0 {
+		return
+	}
+	c.hasRequestBytes = true
+	if c.state == stateIdle {
+		c.requestStartedAt = c.set.now() // the time for the first request counts from the connect instead
+	}
+	if c.state == stateIdle || c.state == stateNew {
+		c.setStateLocked(stateReading)
+	}
+}
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -42,22 +42,26 @@
 
 // Faults of requests, in the order in which they are checked. core.BadID is the cause for X-Call-Id and Idempotency-Key.
 var (
-	faultEncoding    = &requestFault{core.BadFraming, http.StatusLengthRequired, "Content-Length wanted, and nothing beside it", true}
-	faultVersion     = &requestFault{core.BadFraming, http.StatusHTTPVersionNotSupported, "HTTP/1.1 wanted", true}
-	faultBodyTooLong = &requestFault{core.BadFraming, http.StatusRequestEntityTooLarge, "body too long", true}
-	faultTarget      = &requestFault{core.BadTarget, http.StatusNotFound, "no such class or customer", false}
-	faultMethod      = &requestFault{core.BadMethod, http.StatusMethodNotAllowed, "the class has another method", false}
-	faultCallID      = &requestFault{core.BadID, http.StatusBadRequest, "bad X-Call-Id", false}
-	faultKey         = &requestFault{core.BadID, http.StatusBadRequest, "bad Idempotency-Key", false}
-	faultPlan        = &requestFault{core.BadPlan, http.StatusBadRequest, "unknown plan", false}
-	faultBudget      = &requestFault{core.BadBudget, http.StatusBadRequest, "bad X-Budget", false}
-	faultQuota       = &requestFault{core.BadQuota, http.StatusBadRequest, "bad Quota-Info", false}
-	faultBodyTimeout = &requestFault{core.BadFraming, http.StatusRequestTimeout, "body did not come", true}
-	faultBodyCutOff  = &requestFault{core.BadFraming, http.StatusBadRequest, "body broken off", true}
+	faultEncoding     = &requestFault{core.BadFraming, http.StatusLengthRequired, "Content-Length wanted, and nothing beside it", true}
+	faultHeadTooLarge = &requestFault{core.BadFraming, http.StatusRequestHeaderFieldsTooLarge, "head too long, or too many fields", true}
+	faultVersion      = &requestFault{core.BadFraming, http.StatusHTTPVersionNotSupported, "HTTP/1.1 wanted", true}
+	faultBodyTooLong  = &requestFault{core.BadFraming, http.StatusRequestEntityTooLarge, "body too long", true}
+	faultTarget       = &requestFault{core.BadTarget, http.StatusNotFound, "no such class or customer", false}
+	faultMethod       = &requestFault{core.BadMethod, http.StatusMethodNotAllowed, "the class has another method", false}
+	faultCallID       = &requestFault{core.BadID, http.StatusBadRequest, "bad X-Call-Id", false}
+	faultKey          = &requestFault{core.BadID, http.StatusBadRequest, "bad Idempotency-Key", false}
+	faultPlan         = &requestFault{core.BadPlan, http.StatusBadRequest, "unknown plan", false}
+	faultBudget       = &requestFault{core.BadBudget, http.StatusBadRequest, "bad X-Budget", false}
+	faultQuota        = &requestFault{core.BadQuota, http.StatusBadRequest, "bad Quota-Info", false}
+	faultBodyTimeout  = &requestFault{core.BadFraming, http.StatusRequestTimeout, "body did not come", true}
+	faultBodyCutOff   = &requestFault{core.BadFraming, http.StatusBadRequest, "body broken off", true}
 )
 
 // readRequest validates a request, reads its body, and returns it as an event, or its fault if it is malformed.
 func (s *Server) readRequest(r *http.Request) (*core.RequestReceived, *requestFault) {
+	if connOf(r).isHeadTooLarge() {
+		return nil, faultHeadTooLarge
+	}
 	if fault := checkFraming(r); fault != nil {
 		return nil, fault
 	}
