Bound the time for a further request from its first byte

Cause: net/http sets the timeout of a head once it has four bytes of it, and waits for these under the idle timeout.

Change: the connection sets the head's timeout itself, at its first byte, or at the response before if that byte came earlier.

Related paths looked at: the first request of a connection (net/http bounds it from the connect), bodies (bounded by readBody).

--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -62,7 +62,9 @@
 	case isBackgroundRead(p) || c.state == stateClosed:
 	case len(c.input.buffered) > 0:
 		c.hasRequestBytes = true
-		n = c.passInput(p, c.input.take(p))
+		if n = c.passInput(p, c.input.take(p)); n == 0 {
+			c.startHeadTimeout()
+		}
 	case c.state == stateReading && !c.hasRequestBytes:
 		c.setStateLocked(stateIdle)
 	}
@@ -217,6 +219,12 @@
 	return c.input.endKnown()
 }
 
+// startHeadTimeout bounds the time for the rest of a head. net/http does so only once it has four bytes of a further request,
+// and waits for these as long as a connection may be idle.
+func (c *clientConn) startHeadTimeout() {
+	_ = c.SetReadDeadline(c.requestStartedAt.Add(headTimeout)) // fails only on a closed connection
+}
+
 // recordRead updates the state after n bytes were read. The caller holds set.mu.
 func (c *clientConn) recordRead(n int) {
 	if n <= 0 {
@@ -225,6 +233,7 @@
 	c.hasRequestBytes = true
 	if c.state == stateIdle {
 		c.requestStartedAt = c.set.now() // the time for the first request counts from the connect instead
+		c.startHeadTimeout()
 	}
 	if c.state == stateIdle || c.state == stateNew {
 		c.setStateLocked(stateReading)
--- a/internal/httpserver/request_test.go
+++ b/internal/httpserver/request_test.go
@@ -263,3 +263,16 @@
 	server.reject(ev.ID)
 	client.response()
 }
+
+// A client that sends a few bytes of a further request with the one before, and stops, is closed in time as well.
+func TestStartOfNextRequestBehindRequestIsTimedOut(t *testing.T) {
+	server, elapsed := startServerWithMaxConns(t, 0)
+	client := server.connect(t)
+	elapsed.Store(-int64(headTimeout) * 9 / 10) // so that the client has a tenth of the timeout left
+	client.send("GET /ready HTTP/1.1\nHost: x\n\nGE")
+	client.response()
+	client.expectClose()
+	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true, Reason: core.CloseTimeout}) {
+		t.Errorf("posted %+v, want ClientConnClosed of a timeout", ev)
+	}
+}
