Begin no attempt for a client whose close could not be seen behind unread requests

Cause: a close shows behind everything the client sent before. The connection reads 16 KiB ahead of a request in progress, to see the close; beyond that it stopped, and the request went on as if its client were there, as did each later one until the last 16 KiB.

Change: a client of which not all input is read ahead counts as disconnected (core.DisconnectUnseen): its request is answered at once, as one that may be repeated or may have run, and no attempt begins. This is checked once more before a request is posted, as net/http's background read may not have run by then. Requests behind are answered in turn the same way until what is left can be read ahead; if the client is there by then, they are forwarded. Nothing more is read into memory than before.

Ruled out: a retry after a close that was seen (10 KB); the event loop; the backend connection's queue. Why not read on: a client may send without end, so any bound has the same gap. Why not the kernel's word on the close (POLLRDHUP): the close does not arrive while the socket's window is full.

Price: a client that pipelines more than 16 KiB gets 429 for those in front.

--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -32,12 +32,27 @@
 	ReceivedAt   time.Duration // clock time at which its last byte arrived
 	CallID       string        // the client's own ID, empty for none; two open requests may not share one
 	Content      Content
-	Disconnected bool // the client disconnected before the request was read
+	Disconnected bool // the client disconnected before the request was read, or counts as disconnected for the Reason
+	Reason       DisconnectReason
 }
 
-// ClientDisconnected reports that the client of a request disconnected, or closed its sending side. The request ends
-// with a local reply and no further attempts. An ID that belongs to no request without a response is ignored.
-type ClientDisconnected struct{ Request RequestID }
+// ClientDisconnected reports that the client of a request disconnected, or counts as disconnected for the Reason. The
+// request ends with a local reply and no further attempts. An ID that belongs to no request without a response is ignored.
+type ClientDisconnected struct {
+	Request RequestID
+	Reason  DisconnectReason
+}
+
+// DisconnectReason is the reason for which a client counts as disconnected.
+type DisconnectReason uint8
+
+const (
+	// DisconnectClosed means that the client closed the connection, or its sending side.
+	DisconnectClosed DisconnectReason = iota
+	// DisconnectUnseen means that the client has sent so much behind the request that the rest is not read ahead. A close
+	// would not be seen until it is, so the client may have left at any time since.
+	DisconnectUnseen
+)
 
 // RequestMalformed reports an invalid request that was answered with 4xx.
 type RequestMalformed struct{ Cause MalformedCause }
--- a/internal/core/hotrestart.go
+++ b/internal/core/hotrestart.go
@@ -69,7 +69,7 @@
 	case *ForwardedRequestReceived:
 		m.onForwardedRequest(ev)
 	case ForwardedRequestCanceled:
-		m.onClientDisconnected(ev.Request)
+		m.onClientDisconnected(ev.Request, DisconnectClosed)
 	case *ForwardedResponseReceived:
 		m.onForwardedResponse(ev)
 	case InheritedUsageSent:
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -113,7 +113,7 @@
 	case *RequestReceived:
 		m.onRequestReceived(ev)
 	case *ClientDisconnected:
-		m.onClientDisconnected(ev.Request)
+		m.onClientDisconnected(ev.Request, ev.Reason)
 	case RequestMalformed:
 		m.counters.Malformed[ev.Cause]++
 	case *ClientConnClosed:
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -67,6 +67,8 @@
 	ReplyDeadline
 	// ReplyDisconnected means that the client disconnected, or ended its sending.
 	ReplyDisconnected
+	// ReplyUnseen means that it cannot be seen whether the client has disconnected; see DisconnectUnseen.
+	ReplyUnseen
 	// ReplyDuplicateID means that another open request has the same call ID.
 	ReplyDuplicateID
 	// ReplyHandoverFailed means that the successor to which the request was forwarded failed.
@@ -82,12 +84,20 @@
 	return firstAdmissionReply + ReplyReason(reason)
 }
 
+// disconnectReply returns the reason of a reply to a client that counts as disconnected.
+func disconnectReply(reason DisconnectReason) ReplyReason {
+	if reason == DisconnectUnseen {
+		return ReplyUnseen
+	}
+	return ReplyDisconnected
+}
+
 // String returns the name that logs and metrics use.
 func (r ReplyReason) String() string {
 	if r >= firstAdmissionReply {
 		return admission.EndReason(r - firstAdmissionReply).String()
 	}
-	return [...]string{"unknown", "deadline", "disconnected", "duplicate_id", "handover_failed"}[r]
+	return [...]string{"unknown", "deadline", "disconnected", "unseen", "duplicate_id", "handover_failed"}[r]
 }
 
 // ReplyCounts counts local replies by reason.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -75,8 +75,8 @@
 	m.recordTraffic()
 	if ev.Disconnected {
 		m.counters.Received++
-		m.counters.ClientsDisconnected++
-		m.sendResponse(false, m.rejection(ev.ID, ReplyDisconnected))
+		m.countDisconnect(ev.Reason)
+		m.sendResponse(false, m.rejection(ev.ID, disconnectReply(ev.Reason)))
 		return
 	}
 	m.acceptRequest(ev, false)
@@ -153,9 +153,15 @@
 	m.stepController(&submitted)
 }
 
-// onClientDisconnected ends a request whose client has disconnected: nothing more is forwarded for it.
-// The request still gets a response, as a client that only closed its sending side looks the same.
-func (m *Machine) onClientDisconnected(id RequestID) {
+// countDisconnect counts a client that disconnected. One that only counts as such is counted by the reason of its reply.
+func (m *Machine) countDisconnect(reason DisconnectReason) {
+	if reason == DisconnectClosed {
+		m.counters.ClientsDisconnected++
+	}
+}
+
+// onClientDisconnected ends a request whose client counts as disconnected: nothing more is forwarded for it. The request still gets a response, as a client that only closed its sending side looks the same.
+func (m *Machine) onClientDisconnected(id RequestID, reason DisconnectReason) {
 	r := m.requests.byID[id]
 	if r == nil || r.answered {
 		return
@@ -166,9 +172,9 @@
 	m.trace(r, TraceRequest{Step: TraceDisconnected})
 	r.answered = true
 	if !r.fromPredecessor {
-		m.counters.ClientsDisconnected++
+		m.countDisconnect(reason)
 		m.requests.pending--
-		m.sendResponse(false, m.localReply(r, ReplyDisconnected))
+		m.sendResponse(false, m.localReply(r, disconnectReply(reason)))
 	}
 	m.stepController(&admission.RequestEnded{Request: id})
 	m.withdrawAttempts(r)
--- a/internal/core/requests_test.go
+++ b/internal/core/requests_test.go
@@ -113,3 +113,32 @@
 		t.Errorf("counters %+v, want one received, one disconnected client, none open", c)
 	}
 }
+
+// A client of which it cannot be seen whether it has left counts as disconnected: its request is answered at once, and no
+// further attempt begins, also if the one in flight is turned away.
+func TestNoAttemptForUnseenClient(t *testing.T) {
+	m := newTestMachine(t, newEndpoint("b1", "h:1", admission.Live, 0), newEndpoint("b2", "h:2", admission.Live, 0))
+	received := newReadRequest(1, time.Hour, time.Second)
+	received.Disconnected, received.Reason = true, DisconnectUnseen
+	effects := m.Step(time.Hour, received)
+	if r := effectsOf[Respond](effects); len(r) != 1 || r[0].Kind != Rejected || r[0].Reason != ReplyUnseen {
+		t.Errorf("answered with %+v, want one rejection for a client that is not seen", r)
+	}
+	if a := effectsOf[StartAttempt](effects); len(a) > 0 {
+		t.Errorf("started %+v, want no attempt", a)
+	}
+	if a := effectsOf[StartAttempt](m.Step(time.Hour, newReadRequest(2, time.Hour, time.Second))); len(a) != 1 {
+		t.Fatalf("started %+v, want one attempt for a client that is there", a)
+	}
+	effects = m.Step(time.Hour, &ClientDisconnected{Request: 2, Reason: DisconnectUnseen})
+	if r := effectsOf[Respond](effects); len(r) != 1 || r[0].Reason != ReplyUnseen {
+		t.Errorf("answered with %+v, want one reply for a client that is not seen", r)
+	}
+	effects = m.Step(time.Hour, &AttemptFinished{Attempt: AttemptID{2, 0}, Result: admission.Rejected})
+	if a := effectsOf[StartAttempt](effects); len(a) > 0 {
+		t.Errorf("started %+v, want no further attempt", a)
+	}
+	if m.counters.ClientsDisconnected != 0 || m.counters.Replies[ReplyUnseen] != 2 {
+		t.Errorf("counted %d disconnected clients and %d unseen, want 0 and 2", m.counters.ClientsDisconnected, m.counters.Replies[ReplyUnseen])
+	}
+}
--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -20,6 +20,8 @@
 	set *connSet
 	raw syscall.RawConn // nil if the connection is not a socket
 
+	unseen chan struct{} // receives when isUnseen is set; has room for one
+
 	// set.mu guards the fields below.
 	state            connState
 	since            time.Time     // when the connection entered the state
@@ -27,6 +29,7 @@
 	requestStartedAt time.Time     // start of the time for the next request: connect, last response or its first byte
 	hasRequestBytes  bool          // part of the next request was read
 	input            inputBuffer   // for the next reads of net/http
+	isUnseen         bool          // not all input behind the request in progress is read ahead, and a close would not be seen
 	readErr          error         // of the last read that failed
 	readerBlocked    bool          // net/http is waiting at the socket for more bytes, so it has no complete request
 }
@@ -34,7 +37,7 @@
 // newClientConn returns a connection that is not yet in the set. The caller holds set.mu.
 func newClientConn(set *connSet, accepted net.Conn, state connState) *clientConn {
 	now := set.now()
-	c := &clientConn{Conn: accepted, set: set, state: state, since: now, requestStartedAt: now}
+	c := &clientConn{Conn: accepted, set: set, state: state, since: now, requestStartedAt: now, unseen: make(chan struct{}, 1)}
 	if socket, ok := accepted.(syscall.Conn); ok {
 		c.raw, _ = socket.SyscallConn() // nil for a connection that is already closed
 	}
@@ -78,6 +81,11 @@
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	c.requestStartedAt = c.set.now()
+	c.isUnseen = false
+	select {
+	case <-c.unseen:
+	default:
+	}
 	c.setStateLocked(stateReading)
 }
 
--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -207,8 +207,25 @@
 			client.send(strings.Replace(validRequest, "9b1f", fmt.Sprintf("%04x", i), 1))
 		}
 	}()
+	unseen := 0
+	receive := func() *core.RequestReceived {
+		for {
+			switch ev := (<-server.events).(type) {
+			case *core.ClientDisconnected:
+				if ev.Reason != core.DisconnectUnseen {
+					t.Fatalf("posted %+v, want the client to count as disconnected for its unread input alone", ev)
+				}
+				unseen++
+			case *core.RequestReceived:
+				if ev.Disconnected {
+					unseen++
+				}
+				return ev
+			}
+		}
+	}
 	for i := range n {
-		ev := (<-server.events).(*core.RequestReceived)
+		ev := receive()
 		if want := fmt.Sprintf("%04x03aa5c7e2d41", i); ev.CallID != want {
 			t.Fatalf("received request %s, want %s", ev.CallID, want)
 		}
@@ -221,6 +238,39 @@
 		server.reject(ev.ID)
 		client.response()
 	}
+	if unseen == 0 {
+		t.Error("the client never counted as disconnected, want this while more than maxReadAhead is unread")
+	}
+}
+
+// Of a client that sends more than is read ahead, it cannot be seen whether it has left: its requests are posted as those of a
+// disconnected client until what is left can be read ahead. The others are posted as usual if it is still there.
+func TestRequestsBeforeUnreadInputAreOfDisconnectedClient(t *testing.T) {
+	server := startServer(t)
+	client := server.connect(t)
+	const n = 3 * maxReadAhead / len(validRequest)
+	client.send(strings.Repeat(validRequest, n))
+	first := (<-server.events).(*core.RequestReceived)
+	if !first.Disconnected { // the rest may have arrived a moment later
+		if ev, ok := (<-server.events).(*core.ClientDisconnected); !ok || ev.Request != first.ID || ev.Reason != core.DisconnectUnseen {
+			t.Fatalf("posted %+v, want the first request to count as one of a disconnected client", ev)
+		}
+	}
+	server.reject(first.ID)
+	client.response()
+	last := false
+	for range n - 1 {
+		ev := (<-server.events).(*core.RequestReceived)
+		if ev.Disconnected && ev.Reason != core.DisconnectUnseen || ev.Disconnected && last {
+			t.Errorf("posted %+v, want a request of a client that is there, or of which that cannot be seen", ev)
+		}
+		last = !ev.Disconnected
+		server.reject(ev.ID)
+		client.response()
+	}
+	if !last {
+		t.Error("the last request counts as one of a disconnected client, want it to be seen that the client is there")
+	}
 }
 
 // After a limiter was suspended, the deadline of a read may have passed while its input is in the socket. The input is
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -33,13 +33,18 @@
 // closeAfterResponse makes net/http close the connection after the response.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-// serveRequest posts a request and writes the response to it. If the client disconnects in the meantime it posts that
-// as well. It writes the response even then: a client that has only closed its sending side looks the same.
+// serveRequest posts a request and writes the response to it. If the client disconnects in the meantime, or it can no longer
+// be seen whether it does, serveRequest posts that as well. It writes the response even then: a client that has only closed
+// its sending side looks the same.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, event *core.RequestReceived) {
-	disconnected := r.Context().Done()
-	event.Disconnected = r.Context().Err() != nil // the request was pipelined, and its client has disconnected since
+	conn := connOf(r)
+	disconnected, unseen := r.Context().Done(), conn.unseen
+	event.Disconnected, event.Reason = conn.observeClient()
+	if r.Context().Err() != nil {
+		event.Disconnected, event.Reason = true, core.DisconnectClosed
+	}
 	if event.Disconnected {
-		disconnected = nil
+		disconnected, unseen = nil, nil
 	}
 	responses := make(chan core.Respond, 1)
 	s.mu.Lock()
@@ -55,8 +60,11 @@
 			writeResponse(w, response)
 			return
 		case <-disconnected:
-			disconnected = nil
-			s.options.Post(&core.ClientDisconnected{Request: event.ID})
+			disconnected, unseen = nil, nil
+			s.options.Post(&core.ClientDisconnected{Request: event.ID, Reason: core.DisconnectClosed})
+		case <-unseen:
+			disconnected, unseen = nil, nil
+			s.options.Post(&core.ClientDisconnected{Request: event.ID, Reason: core.DisconnectUnseen})
 		}
 	}
 }
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 
+	"lemongate/internal/core"
 	"lemongate/internal/rawread"
 )
 
@@ -21,8 +22,12 @@
 	standInRequest = "GET / HTTP/1.1\r\nHost: too-large\r\n\r\n"
 )
 
-// errInputDiscarded means that nothing more of a connection is read, as the start of the next request is not known.
-var errInputDiscarded = errors.New("input is discarded")
+var (
+	// errInputDiscarded means that nothing more of a connection is read, as the start of the next request is not known.
+	errInputDiscarded = errors.New("input is discarded")
+	// errReadAheadFull means that no more of a connection is read ahead.
+	errReadAheadFull = errors.New("read ahead is full")
+)
 
 // Read implements net.Conn. Reading and the state change that follows are one step under set.mu. So if a connection
 // is closed between requests, no byte of the next request was read, and a reset tells the client that it may resend
@@ -187,22 +192,67 @@
 	return c.set.readsStopped && !isBackgroundRead(p)
 }
 
-// receiveAhead buffers all bytes in the socket. Once maxReadAhead bytes are buffered, receiveAhead returns the first of them,
-// which ends net/http's background read. Until then it returns no byte but the error of the last read, which is nil at the
-// end of the stream. The caller holds set.mu.
+// receiveAhead reads ahead for net/http's background read. At maxReadAhead it returns the first byte that it has buffered,
+// which ends that read. Until then it returns no byte but the error of the last read, which is nil at the end of the stream.
+// The caller holds set.mu.
 func (c *clientConn) receiveAhead(fd uintptr, p []byte) (n int, err error) {
-	for {
-		if len(c.input.buffered) >= maxReadAhead {
-			p[0] = c.input.takeByteAhead()
-			return 1, nil
+	err = c.readAhead(fd)
+	switch {
+	case errors.Is(err, errReadAheadFull):
+		c.setUnseen()
+		p[0] = c.input.takeByteAhead()
+		return 1, nil
+	case errors.Is(err, io.EOF):
+		return 0, nil
+	}
+	return 0, err
+}
+
+// readAhead buffers what is in the socket. It returns syscall.EAGAIN once the socket is empty, io.EOF at the end of the
+// stream, errReadAheadFull once maxReadAhead bytes are buffered, and any other error of a read. The caller holds set.mu.
+func (c *clientConn) readAhead(fd uintptr) error {
+	for len(c.input.buffered) < maxReadAhead {
+		n, err := rawread.Nonblocking(fd, c.set.scratch[:])
+		if err != nil {
+			return err
 		}
-		n, err = rawread.Nonblocking(fd, c.set.scratch[:])
-		c.recordRead(n)
 		if n == 0 {
-			return 0, err
+			return io.EOF
 		}
+		c.recordRead(n)
 		c.input.add(c.set.scratch[:n])
 	}
+	return errReadAheadFull
+}
+
+// setUnseen records that a close by the client would not be seen until the request in progress is answered. The caller
+// holds set.mu.
+func (c *clientConn) setUnseen() {
+	c.isUnseen = true
+	select {
+	case c.unseen <- struct{}{}:
+	default: // it was sent for this request already
+	}
+}
+
+// observeClient reads ahead, and reports whether the client of the request in progress counts as disconnected. What the
+// client sent behind the request may hide that it has left, however long ago.
+func (c *clientConn) observeClient() (disconnected bool, reason core.DisconnectReason) {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	if c.raw == nil || c.isUnseen {
+		return c.isUnseen, core.DisconnectUnseen
+	}
+	err := net.ErrClosed
+	_ = c.raw.Control(func(fd uintptr) { err = c.readAhead(fd) }) // fails on a closed socket
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return false, core.DisconnectClosed
+	case errors.Is(err, errReadAheadFull):
+		c.setUnseen()
+		return true, core.DisconnectUnseen
+	}
+	return true, core.DisconnectClosed
 }
 
 // isHeadTooLarge reports whether the head of the present request exceeds the limits.
