Do not forward a request again that may have run, if its call ID comes again

Cause: the core keeps a call ID while the request is open or has an attempt in flight, and forgets it then. A cancellation ends the attempt here, not at the backend.

Change: the IDs of requests that have ended, may have run and are not idempotent are remembered for the longest time that any client waits (core/callids.go). A request with such an ID is answered with 502, "may have run", and not forwarded. 16,384 IDs at most, as hashes of 16 bytes, about 1 MB; beyond it a request that must not run twice gets 429 and is not forwarded, other requests are. A successor remembers the IDs of its predecessor's attempts as they end.

Ruled out: two requests open at once (409 before and since); other limiters and processes that were killed know nothing of the ID.

Price: one hash for each request whose class is not idempotent and that was forwarded, and 60 to 70 bytes for the time of memory.

--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -247,6 +247,7 @@
 	if m.requests.byCallID[open.CallID] == open.ID {
 		delete(m.requests.byCallID, open.CallID)
 	}
+	m.rememberCallID(open.CallID, open.Class, !finished.Result.NeverRan())
 	m.stepController(&admission.AttemptFinished{
 		Request: finished.Attempt.Request, Attempt: finished.Attempt.Number, Backend: finished.Backend,
 		Result: finished.Result, Latency: finished.Latency, Final: true, Report: finished.Report,
--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -21,8 +21,10 @@
 	attemptsStarted map[RequestID]int // by request
 	live            map[string]bool   // backends that are live
 	callIDs         map[RequestID]string
+	idempotent      map[RequestID]bool
 	nonIdempotent   map[RequestID]bool
 	mayHaveRun      map[RequestID]bool
+	usedCallIDs     map[string]usedByRequest // of requests that may have run and must not run twice
 	lastRequest     RequestID
 	exited          bool
 
@@ -32,6 +34,20 @@
 	duplicate    RequestID // the request that arrived with the call ID of an open one
 }
 
+// usedByRequest is the use of a call ID by a request, and the clock time until which no other may use it.
+type usedByRequest struct {
+	request RequestID
+	until   time.Duration
+}
+
+// recordMayHaveRun records that a request may have run.
+func (m *model) recordMayHaveRun(id RequestID) {
+	m.mayHaveRun[id] = true
+	if callID := m.callIDs[id]; callID != "" && !m.idempotent[id] {
+		m.usedCallIDs[callID] = usedByRequest{id, m.now + 5*time.Second} // the longest deadline of testSettings
+	}
+}
+
 // step sends an event to the machine and checks the effects that it causes.
 func (m *model) step(ev Event) { m.checkEffects(m.machine.Step(m.now, ev)) }
 
@@ -44,7 +60,7 @@
 			m.checkStart(e)
 		case CancelAttempt:
 			m.removeInFlight(e.Attempt)
-			m.mayHaveRun[e.Attempt.Request] = true
+			m.recordMayHaveRun(e.Attempt.Request)
 		case WithdrawAttempt:
 			if !slices.Contains(m.inFlight, e.Attempt) || e.Attempt.Request != m.disconnected {
 				m.t.Fatalf("withdrawn %+v, want only attempts in flight of request %d, whose client disconnected", e, m.disconnected)
@@ -83,6 +99,9 @@
 	if m.mustNotRunAgain(id) {
 		m.t.Fatalf("attempt %+v of a non-idempotent request that may run or have run", e)
 	}
+	if used := m.usedCallIDs[m.callIDs[id]]; used.request != id && m.now < used.until {
+		m.t.Fatalf("attempt %+v of a request with the call ID of request %d, which may have run", e, used.request)
+	}
 	m.attemptsStarted[id]++
 	m.inFlight = append(m.inFlight, e.Attempt)
 }
@@ -154,6 +173,7 @@
 		m.callIDs[m.lastRequest] = callID
 	}
 	m.openDeadlines[m.lastRequest] = m.now + budget
+	m.idempotent[m.lastRequest] = class.Idempotency == admission.Idempotent
 	m.nonIdempotent[m.lastRequest] = class.Idempotency == admission.NonIdempotent
 	m.step(&RequestReceived{ReceivedAt: m.now, CallID: callID, Request: admission.Request{
 		ID: m.lastRequest, Class: class.Name, Plan: "small", Units: 1, Budget: budget, SetSize: 1,
@@ -169,7 +189,9 @@
 	id := rapid.SampledFrom(m.inFlight).Draw(t, "attempt")
 	result := admission.Result(rapid.IntRange(0, int(admission.ConnectionLost)).Draw(t, "result"))
 	m.removeInFlight(id)
-	m.mayHaveRun[id.Request] = m.mayHaveRun[id.Request] || !result.NeverRan()
+	if !result.NeverRan() {
+		m.recordMayHaveRun(id.Request)
+	}
 	if _, open := m.openDeadlines[id.Request]; open && result == admission.Succeeded {
 		m.succeeded = id.Request
 	}
@@ -193,7 +215,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			t: t, now: time.Hour, openDeadlines: map[RequestID]time.Duration{}, attemptsStarted: map[RequestID]int{}, callIDs: map[RequestID]string{},
-			live: map[string]bool{"b1": true, "b2": true}, nonIdempotent: map[RequestID]bool{}, mayHaveRun: map[RequestID]bool{},
+			live: map[string]bool{"b1": true, "b2": true}, idempotent: map[RequestID]bool{}, nonIdempotent: map[RequestID]bool{}, mayHaveRun: map[RequestID]bool{}, usedCallIDs: map[string]usedByRequest{},
 		}
 		settings := testSettings
 		settings.MayCancel = rapid.Bool().Draw(t, "may cancel")
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -71,6 +71,10 @@
 	ReplyUnseen
 	// ReplyDuplicateID means that another open request has the same call ID.
 	ReplyDuplicateID
+	// ReplyRepeated means that a request with the same call ID has ended, may have run, and must not run twice.
+	ReplyRepeated
+	// ReplyTooManyCallIDs means that no further call ID can be remembered, so that the request could run twice.
+	ReplyTooManyCallIDs
 	// ReplyHandoverFailed means that the successor to which the request was forwarded failed.
 	ReplyHandoverFailed
 	// firstAdmissionReply is the first of the admission controller's reasons, in their order.
@@ -97,7 +101,7 @@
 	if r >= firstAdmissionReply {
 		return admission.EndReason(r - firstAdmissionReply).String()
 	}
-	return [...]string{"unknown", "deadline", "disconnected", "unseen", "duplicate_id", "handover_failed"}[r]
+	return [...]string{"unknown", "deadline", "disconnected", "unseen", "duplicate_id", "repeated", "too_many_call_ids", "handover_failed"}[r]
 }
 
 // ReplyCounts counts local replies by reason.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -39,10 +39,11 @@
 
 // requestSet is the set of requests without a response or with an attempt in flight.
 type requestSet struct {
-	byID     map[RequestID]*request
-	byCallID map[string]RequestID // includes attempts adopted from a predecessor
-	pending  int                  // number of requests of this process's clients without a response
-	lastID   RequestID            // greatest ID that the server assigned
+	byID        map[RequestID]*request
+	byCallID    map[string]RequestID // includes attempts adopted from a predecessor
+	usedCallIDs usedCallIDs
+	pending     int       // number of requests of this process's clients without a response
+	lastID      RequestID // greatest ID that the server assigned
 }
 
 func newRequestSet() requestSet {
@@ -82,12 +83,9 @@
 	m.acceptRequest(ev, false)
 }
 
-// acceptRequest records a request, sets a timer for its deadline, and submits, forwards or keeps it. A request with the
-// call ID of an open one is rejected: backends and clients would confuse the responses of the two.
+// acceptRequest records a request, sets a timer for its deadline, and submits, forwards or keeps it.
 func (m *Machine) acceptRequest(ev *RequestReceived, fromPredecessor bool) {
-	if !m.claimCallID(ev) {
-		m.counters.Malformed[DuplicateCallID]++
-		m.sendResponse(fromPredecessor, Respond{Request: ev.ID, Kind: DuplicateID, Reason: ReplyDuplicateID})
+	if m.rejectCallID(ev, fromPredecessor) {
 		return
 	}
 	r := m.newRequest(ev, fromPredecessor)
@@ -108,37 +106,22 @@
 	}
 }
 
-// claimCallID records the call ID of a request, if it has one, as in use. It returns false if another request uses it.
-func (m *Machine) claimCallID(ev *RequestReceived) bool {
-	if ev.CallID == "" {
-		return true
-	}
-	if _, open := m.requests.byCallID[ev.CallID]; open {
-		return false
-	}
-	m.requests.byCallID[ev.CallID] = ev.ID
-	return true
-}
-
 func (m *Machine) newRequest(ev *RequestReceived, fromPredecessor bool) *request {
 	r := &request{
 		RequestReceived: ev,
-		classIndex:      noClass,
+		classIndex:      m.classIndex(ev.Class),
 		deadline:        min(ev.ReceivedAt, m.now) + ev.Budget - responseMargin,
 		fromPredecessor: fromPredecessor,
 	}
+	if r.classIndex != noClass {
+		r.idempotency = m.config.Settings.Classes[r.classIndex].Idempotency
+	}
 	if m.exitBy != 0 { // the process ends before the client's time is over, if the request came late in the shutdown
 		r.deadline = min(r.deadline, m.exitBy-exitMargin)
 	}
 	if fromPredecessor {
 		r.deadline -= forwardMargin
 	}
-	for i, class := range m.config.Settings.Classes {
-		if class.Name == ev.Class {
-			r.classIndex = i
-			r.idempotency = class.Idempotency
-		}
-	}
 	return r
 }
 
@@ -267,6 +250,7 @@
 		return
 	}
 	m.reportRequestEnded(r)
+	m.rememberCallID(r.CallID, r.Class, r.mayHaveRun && r.attempts > 0)
 	delete(m.requests.byID, r.ID)
 	delete(m.requests.byCallID, r.CallID)
 }
--- a/internal/core/requests_test.go
+++ b/internal/core/requests_test.go
@@ -142,3 +142,73 @@
 		t.Errorf("counted %d disconnected clients and %d unseen, want 0 and 2", m.counters.ClientsDisconnected, m.counters.Replies[ReplyUnseen])
 	}
 }
+
+// A request that must not run twice is not forwarded again if it comes again with its call ID after it has ended and may have
+// run, until no client can wait for it any more. A request that never ran, or that may run twice, is forwarded again.
+func TestRequestThatMayHaveRunIsNotForwardedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		class  string
+		result admission.Result
+		again  bool // it is forwarded again
+	}{
+		"canceled":   {"once", admission.Canceled, false},
+		"lost":       {"once", admission.ConnectionLost, false},
+		"served":     {"once", admission.Succeeded, false},
+		"never ran":  {"once", admission.Rejected, true},
+		"keyed":      {"post", admission.ConnectionLost, false},
+		"idempotent": {"read", admission.ConnectionLost, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings
+			settings.MayCancel = c.result == admission.Canceled
+			known := []Endpoint{newEndpoint("b1", "h:1", admission.Live, 0)}
+			m, _ := New(time.Hour, Config{Settings: settings, Seed: 1, KnownEndpoints: known})
+			send := func(id RequestID, now time.Duration) []Effect {
+				ev := newReadRequest(id, now, time.Second)
+				ev.CallID, ev.Class = "x", c.class
+				return m.Step(now, ev)
+			}
+			if a := effectsOf[StartAttempt](send(1, time.Hour)); len(a) != 1 {
+				t.Fatalf("started %+v, want one attempt", a)
+			}
+			m.Step(time.Hour, &ClientDisconnected{Request: 1}) // which cancels the attempt if that is allowed
+			m.Step(time.Hour, &AttemptFinished{Attempt: AttemptID{1, 0}, Result: c.result})
+			now := time.Hour + 4900*time.Millisecond // the longest budget is 5 s
+			effects := send(2, now)
+			if a := effectsOf[StartAttempt](effects); (len(a) == 1) != c.again {
+				t.Errorf("started %+v when the request came again, want an attempt: %v", a, c.again)
+			}
+			if r := effectsOf[Respond](effects); !c.again && (len(r) != 1 || r[0].Kind != Failed || r[0].Reason != ReplyRepeated) {
+				t.Errorf("answered with %+v, want that it may have run", r)
+			}
+			m.Step(now, &ClientDisconnected{Request: 2})
+			m.Step(now, &AttemptFinished{Attempt: AttemptID{2, 0}, Result: admission.NotSent})
+			if a := effectsOf[StartAttempt](send(3, time.Hour+5*time.Second)); len(a) != 1 {
+				t.Errorf("started %+v after the longest budget, want one attempt", a)
+			}
+		})
+	}
+}
+
+// The call IDs that are remembered are bounded: beyond the bound a request that must not run twice is rejected, and may be
+// sent again; other requests are forwarded.
+func TestUsedCallIDsAreBounded(t *testing.T) {
+	m := newTestMachine(t, newEndpoint("b1", "h:1", admission.Live, 0))
+	for i := range maxUsedCallIDs {
+		m.requests.usedCallIDs.remember(fmt.Sprint(i), time.Hour+time.Second)
+	}
+	send := func(id RequestID, class string, now time.Duration) []Effect {
+		ev := newReadRequest(id, now, time.Second)
+		ev.CallID, ev.Class, ev.Customer = fmt.Sprint("new", id), class, fmt.Sprint(id)
+		return m.Step(now, ev)
+	}
+	if r := effectsOf[Respond](send(1, "once", time.Hour)); len(r) != 1 || r[0].Kind != Rejected || r[0].Reason != ReplyTooManyCallIDs {
+		t.Errorf("answered with %+v, want a rejection as there are too many call IDs", r)
+	}
+	if a := effectsOf[StartAttempt](send(2, "read", time.Hour)); len(a) != 1 {
+		t.Errorf("started %+v, want an attempt of an idempotent request", a)
+	}
+	if a := effectsOf[StartAttempt](send(3, "once", time.Hour+time.Second)); len(a) != 1 {
+		t.Errorf("started %+v, want an attempt once the call IDs are forgotten", a)
+	}
+}
