Bound the memory that requests and responses of all clients occupy, and count the program in the heap limit

Cause: a head and a body were bounded for each connection, and nothing in all: 512 connections may hold 40 MB. The Go heap was limited to 0.7 of the memory limit, which leaves 9.6 MB of 32 for the text of the program, 13.5 MB of which are resident. The system's buffers of a connection grew to megabytes each.

Change: what is received of a request counts as memory of its connection until it is answered, and a response while it is written (memory.go). Each connection may have 2 KiB; what is beyond comes out of 1/16 of the memory limit. A request that finds none waits, unread, for as long as it may take to arrive, then gets 503 with Retry-After; whoever holds least is next. Behind an open request nothing more is read ahead then, and the client counts as one that is not seen. A response displaces responses that were not read for 1 s. A body's buffer is no longer than the body. The heap leaves 16 MB for the program; client connections are 48 KB of the memory limit each at most, 298 at 32 MB (512 from 42 MB on at 1,024 descriptors). Listening sockets bound the system's buffers, 32 and 80 KiB.

Ruled out: evicting half requests for others' memory instead of waiting (tried: clients that connect again at once made thousands of connections a second, 40 MB); counting heads alone.

Price: with 32 MB 298 client connections at once, not 512; large requests wait where many are open.

--- a/cmd/lemongate/main_test.go
+++ b/cmd/lemongate/main_test.go
@@ -77,7 +77,8 @@
 	}
 }
 
-// limitRuntime sets GOMAXPROCS to the whole cores of the limit, and the Go memory limit to heapFraction of the memory.
+// limitRuntime sets GOMAXPROCS to the whole cores of the limit, and the Go memory limit to heapFraction of the memory, but
+// leaves programMemory.
 func TestLimitRuntime(t *testing.T) {
 	procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
 	defer func() {
@@ -88,4 +89,8 @@
 	if p, m := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); p != 1 || m != 140<<20 {
 		t.Errorf("got GOMAXPROCS %d and a memory limit of %d bytes, want 1 and 140 MiB", p, m)
 	}
+	limitRuntime(config.Limits{MemoryMB: 32}, 1) // the program itself takes 16 of it
+	if m := debug.SetMemoryLimit(-1); m != 16<<20 {
+		t.Errorf("with 32 MiB of memory: got a memory limit of %d bytes, want 16 MiB", m)
+	}
 }
--- a/cmd/lemongate/serve.go
+++ b/cmd/lemongate/serve.go
@@ -23,6 +23,10 @@
 	// heapFraction is the fraction of the memory limit that the Go heap may use; the rest is for stacks, the
 	// program itself and buffers of the operating system.
 	heapFraction = 0.7
+	// programMemory is the memory of the program itself, its text and that of the C library, which is not part of the heap.
+	programMemory = 16 << 20
+	// minHeap is the least limit of the Go heap, however low the memory limit is.
+	minHeap = 8 << 20
 	// clockRateVariable is the environment variable with which the process harness makes the clock
 	// of a limiter run faster or slower than the machine's.
 	clockRateVariable = "LEMONGATE_LAB_CLOCK"
@@ -109,8 +113,9 @@
 		runtime.GOMAXPROCS(max(int(limits.Cores), 1))
 	}
 	if limits.MemoryMB > 0 {
-		limit := float64(limits.MemoryMB<<20) * heapFraction * memoryFraction
-		debug.SetMemoryLimit(int64(limit))
+		memory := float64(limits.MemoryMB<<20) * memoryFraction
+		heap := min(memory*heapFraction, memory-programMemory)
+		debug.SetMemoryLimit(int64(max(heap, minHeap)))
 	}
 }
 
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -86,6 +86,9 @@
 	return [...]string{"target", "method", "id", "plan", "budget", "quota", "framing", "open_id"}[c]
 }
 
+// RequestRejected reports a request that the server rejected by itself, before it was read completely.
+type RequestRejected struct{ Reason ReplyReason }
+
 // ClientConnClosed reports a client connection that the server closed by itself because it was idle or because
 // there were too many.
 type ClientConnClosed struct {
@@ -212,6 +215,7 @@
 func (*RequestReceived) event()            {}
 func (*ClientDisconnected) event()         {}
 func (RequestMalformed) event()            {}
+func (RequestRejected) event()             {}
 func (*ClientConnClosed) event()           {}
 func (ServerClosed) event()                {}
 func (*AttemptFinished) event()            {}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -116,6 +116,8 @@
 		m.onClientDisconnected(ev.Request, ev.Reason)
 	case RequestMalformed:
 		m.counters.Malformed[ev.Cause]++
+	case RequestRejected:
+		m.counters.Replies[ev.Reason]++
 	case *ClientConnClosed:
 		m.onClientConnClosed(ev)
 	case *AttemptFinished:
--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -33,6 +33,8 @@
 	CloseByClient
 	// CloseTimeout means that a request was not complete in time.
 	CloseTimeout
+	// CloseMemory means that the connection was stuck in the middle of a request or a response, and its memory was needed.
+	CloseMemory
 	// CloseUnparsable means that what was received is no request.
 	CloseUnparsable
 	numCloseReasons
@@ -41,7 +43,7 @@
 // String returns the name that logs and metrics use.
 func (r CloseReason) String() string {
 	return [...]string{
-		"unknown", "idle", "silent", "incomplete", "lingering", "rejected", "rejected_unread", "client", "timeout", "unparsable",
+		"unknown", "idle", "silent", "incomplete", "lingering", "rejected", "rejected_unread", "client", "timeout", "memory", "unparsable",
 	}[r]
 }
 
@@ -75,6 +77,8 @@
 	ReplyRepeated
 	// ReplyTooManyCallIDs means that no further call ID can be remembered, so that the request could run twice.
 	ReplyTooManyCallIDs
+	// ReplyOutOfMemory means that there was no memory for the request, or for the rest of it.
+	ReplyOutOfMemory
 	// ReplyHandoverFailed means that the successor to which the request was forwarded failed.
 	ReplyHandoverFailed
 	// firstAdmissionReply is the first of the admission controller's reasons, in their order.
@@ -101,7 +105,7 @@
 	if r >= firstAdmissionReply {
 		return admission.EndReason(r - firstAdmissionReply).String()
 	}
-	return [...]string{"unknown", "deadline", "disconnected", "unseen", "duplicate_id", "repeated", "too_many_call_ids", "handover_failed"}[r]
+	return [...]string{"unknown", "deadline", "disconnected", "unseen", "duplicate_id", "repeated", "too_many_call_ids", "out_of_memory", "handover_failed"}[r]
 }
 
 // ReplyCounts counts local replies by reason.
--- a/internal/eventloop/components.go
+++ b/internal/eventloop/components.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"lemongate/internal/admin"
+	"lemongate/internal/config"
 	"lemongate/internal/core"
 	"lemongate/internal/discovery"
 	"lemongate/internal/httpserver"
@@ -26,6 +28,18 @@
 	clientConnFraction  = 0.5
 	backendConnFraction = 0.25
 
+	// clientMemoryFraction is the fraction of the memory limit for requests and responses of clients.
+	clientMemoryFraction = 1.0 / 16
+	// idleProcessMemory is the memory of a process without connections, and clientConnMemory that of a client connection,
+	// without what its requests may share.
+	idleProcessMemory = 18 << 20
+	clientConnMemory  = 48 << 10
+
+	// clientReceiveBuffer and clientSendBuffer are the system's buffers for each client connection: a few usual requests,
+	// and the longest response.
+	clientReceiveBuffer = 32 << 10
+	clientSendBuffer    = 80 << 10
+
 	// idleConnFraction is the fraction of the socket limit that a limiter keeps as idle connections per backend,
 	// at least minIdleConns. All limiters together keep at most maxIdleConnsPerBackendOfTier at a backend, whose
 	// room for connections is limited; each limiter keeps at least one.
@@ -46,6 +60,20 @@
 	return max(min(perBackend, maxIdleConnsPerBackendOfTier/max(limiters, 1)), 1)
 }
 
+// maxClientConns returns how many client connections a limiter keeps open; 0 for no limit. Where the memory limit is low it
+// has room for fewer than the socket limit allows.
+func maxClientConns(limits config.Limits) int {
+	bySockets := int(float64(limits.Sockets) * clientConnFraction)
+	if limits.MemoryMB <= 0 {
+		return bySockets
+	}
+	byMemory := max((int(limits.MemoryMB)<<20-idleProcessMemory)/clientConnMemory, 1)
+	if bySockets == 0 {
+		return byMemory
+	}
+	return min(bySockets, byMemory)
+}
+
 func (l *Loop) startUpstream() {
 	c := l.config
 	maxSockets := float64(c.Limits.Sockets)
@@ -97,13 +125,22 @@
 }
 
 func listenForClients(addr string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", addr)
+	listener, err := (&net.ListenConfig{Control: boundSocketBuffers}).Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return listener, nil
 }
 
+// boundSocketBuffers bounds the buffers of the connections that a listener accepts: by itself the system lets them grow to
+// megabytes for each connection.
+func boundSocketBuffers(_, _ string, socket syscall.RawConn) error {
+	return socket.Control(func(fd uintptr) { // a socket without bounds serves as well
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientReceiveBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, clientSendBuffer)
+	})
+}
+
 // openAddress calls open. If wait is set, it repeats the call while another process holds the address, for
 // addressTimeout at most.
 func (l *Loop) openAddress(wait bool, open func() error) error {
@@ -129,7 +166,8 @@
 	l.server = httpserver.New(httpserver.Options{
 		Settings:    c.Settings.Settings,
 		MaxUnits:    c.Settings.MaxUnits,
-		MaxConns:    int(float64(c.Limits.Sockets) * clientConnFraction),
+		MaxConns:    maxClientConns(c.Limits),
+		MaxMemory:   int(float64(c.Limits.MemoryMB<<20) * clientMemoryFraction),
 		LastRequest: uint64(lastRequest),
 		Now:         l.now,
 		Post:        l.post,
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -161,3 +161,23 @@
 		}
 	}
 }
+
+// The number of client connections follows from the socket limit, or from the memory limit if that is low.
+func TestMaxClientConns(t *testing.T) {
+	for _, c := range []struct {
+		limits config.Limits
+		want   int
+	}{
+		{config.Limits{Sockets: 1024, MemoryMB: 192}, 512},
+		{config.Limits{Sockets: 1024}, 512},
+		{config.Limits{Sockets: 1024, MemoryMB: 32}, 298},
+		{config.Limits{MemoryMB: 32}, 298},
+		{config.Limits{Sockets: 64, MemoryMB: 32}, 32},
+		{config.Limits{Sockets: 1024, MemoryMB: 1}, 1},
+		{config.Limits{}, 0},
+	} {
+		if got := maxClientConns(c.limits); got != c.want {
+			t.Errorf("%+v: got %d client connections, want %d", c.limits, got, c.want)
+		}
+	}
+}
--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lemongate/internal/core"
+	"lemongate/internal/rawread"
 )
 
 // writeTimeout is the timeout of a write to a client that does not read.
@@ -29,6 +30,10 @@
 	requestStartedAt time.Time     // start of the time for the next request: connect, last response or its first byte
 	hasRequestBytes  bool          // part of the next request was read
 	input            inputBuffer   // for the next reads of net/http
+	inputFault       *requestFault // fault of the present request that was found before net/http had its head; nil for none
+	charged          int           // bytes of requests and responses that count as memory of this connection
+	writingSince     time.Time     // start of the write in progress; zero for none
+	readDeadline     time.Time     // of reads; zero for none
 	isUnseen         bool          // not all input behind the request in progress is read ahead, and a close would not be seen
 	readErr          error         // of the last read that failed
 	readerBlocked    bool          // net/http is waiting at the socket for more bytes, so it has no complete request
@@ -58,6 +63,10 @@
 		return previous
 	}
 	c.set.byState[previous].Remove(c.element)
+	if state == stateClosed {
+		c.charge(-c.charged)
+		c.stopWaitingForMemory()
+	}
 	c.state, c.since = state, c.set.now()
 	if state == stateClosed {
 		c.set.open--
@@ -67,6 +76,19 @@
 	return previous
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	return c.setReadDeadlineLocked(deadline)
+}
+
+// setReadDeadlineLocked is SetReadDeadline for a caller that holds set.mu.
+func (c *clientConn) setReadDeadlineLocked(deadline time.Time) error {
+	c.readDeadline = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // startServing records that a request was read completely, and reports whether to serve it: a request on a closed
 // connection is not served.
 func (c *clientConn) startServing() bool {
@@ -82,6 +104,7 @@
 	defer c.set.mu.Unlock()
 	c.requestStartedAt = c.set.now()
 	c.isUnseen = false
+	c.refundRequest()
 	select {
 	case <-c.unseen:
 	default:
@@ -95,11 +118,8 @@
 	if c.raw == nil {
 		return false
 	}
-	var one [1]byte
 	n := 0
-	_ = c.raw.Control(func(fd uintptr) { // fails on a closed socket, which has no input
-		n, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	_ = c.raw.Control(func(fd uintptr) { n, _ = rawread.Peek(fd) }) // fails on a closed socket, which has no input
 	return n > 0
 }
 
@@ -107,14 +127,24 @@
 // the memory of the response indefinitely. In stateClosed it fails, because net/http treats a read that was interrupted
 // as a malformed request and would answer it.
 func (c *clientConn) Write(p []byte) (int, error) {
-	c.set.mu.Lock()
-	state := c.state
-	c.set.mu.Unlock()
-	if state == stateClosed {
+	now := c.set.now()
+	if !c.startWriting(now) {
 		return 0, net.ErrClosed
 	}
-	_ = c.SetWriteDeadline(c.set.now().Add(writeTimeout)) // if this fails, the write fails too
-	return c.Conn.Write(p)
+	_ = c.SetWriteDeadline(now.Add(writeTimeout)) // if this fails, the write fails too
+	n, err := c.Conn.Write(p)
+	c.set.mu.Lock()
+	c.writingSince = time.Time{}
+	c.set.mu.Unlock()
+	return n, err
+}
+
+// startWriting records the start of a write, and reports whether the connection is open.
+func (c *clientConn) startWriting(now time.Time) bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.writingSince = now
+	return c.state != stateClosed
 }
 
 // CloseWrite closes the sending side. net/http calls it half a second before Close, so that the client can read its
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -66,8 +66,9 @@
 	resourceFraction float64
 	resumed          chan struct{} // closed by resume; nil while accepting is not paused
 	scratch          [4 << 10]byte // buffer for reading ahead
-	draining         bool          // a connection that becomes idle is closed
-	readsStopped     bool          // incomplete requests are not read any further
+	memory           sharedMemory
+	draining         bool // a connection that becomes idle is closed
+	readsStopped     bool // incomplete requests are not read any further
 
 	// moveConn moves an idle connection to another process; nil while no connections are being moved.
 	moveConn func(syscall.Conn) error
@@ -77,6 +78,7 @@
 	return &connSet{
 		Listener: listener, maxConns: maxConns, now: now,
 		rejectionTimeout: newConnTimeout, stopped: make(chan struct{}), resourceFraction: 1,
+		memory: sharedMemory{waiting: map[*clientConn]chan struct{}{}},
 	}
 }
 
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -30,6 +30,7 @@
 type evictedConn struct {
 	*clientConn
 	previous connState // the state before the eviction
+	reason   core.CloseReason
 }
 
 // finish closes the socket and reports the connection as closed.
@@ -39,7 +40,7 @@
 	}
 	_ = e.Conn.Close()               // the connection has ended even if this fails
 	if e.previous != stateRejected { // reject reports rejected connections
-		e.set.onClosed(e.previous, evictionReason(e.previous))
+		e.set.onClosed(e.previous, e.reason)
 	}
 }
 
@@ -92,20 +93,20 @@
 			continue
 		}
 		c.setStateLocked(stateClosed)
-		return evictedConn{c, state}
+		return evictedConn{c, state, evictionReason(state)}
 	}
 	return evictedConn{}
 }
 
-// mayEvict reports whether a connection in its current state may be evicted. Except when it lingers, a connection with
-// input in its socket may not: after a process was suspended, sockets hold requests that arrived in the meantime. The
-// caller holds set.mu.
+// mayEvict reports whether a connection in its current state may be evicted. Except when it lingers, or waits for memory, a
+// connection with input in its socket may not: after a process was suspended, sockets hold requests that arrived in the
+// meantime. The caller holds set.mu.
 func (c *clientConn) mayEvict() bool {
 	switch c.state {
 	case stateLingering:
 		return true
 	case stateReading:
-		return c.readerBlocked && !c.hasInput()
+		return c.readerBlocked && (c.isWaitingForMemory() || !c.hasInput())
 	}
 	return !c.hasInput()
 }
--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -178,5 +178,5 @@
 
 // replace replaces the request whose head is not passed on with another one, whose end is not known.
 func (in *inputBuffer) replace(request string) {
-	*in = inputBuffer{buffered: []byte(request), passable: unlimited, tooLarge: true}
+	*in = inputBuffer{buffered: []byte(request), passable: unlimited}
 }
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"lemongate/internal/core"
+	"lemongate/internal/upstream"
 )
 
 // This file serves a request, from reading its head to writing its response.
@@ -57,6 +58,9 @@
 			if s.draining.Load() { // draining may have begun since ServeHTTP
 				closeAfterResponse(w)
 			}
+			if served, ok := response.Response.(*upstream.Response); ok {
+				conn.chargeResponse(len(served.Body))
+			}
 			writeResponse(w, response)
 			return
 		case <-disconnected:
@@ -72,7 +76,7 @@
 // serveMalformed answers a malformed request immediately, without waiting for its body: the client may never send the
 // rest of it.
 func (s *Server) serveMalformed(w http.ResponseWriter, r *http.Request, fault *requestFault) {
-	s.options.Post(core.RequestMalformed{Cause: fault.cause})
+	s.postFault(fault)
 	conn := connOf(r)
 	if !conn.startServing() {
 		panic(http.ErrAbortHandler)
@@ -88,6 +92,9 @@
 		_ = conn.SetReadDeadline(conn.requestStartedAt.Add(malformedTimeout)) // fails only on a closed connection
 		_ = controller.EnableFullDuplex()                                     // otherwise net/http reads the body first
 	}
+	if retryAfter := s.options.Settings.MaxRetryAfter; fault.isOverload && retryAfter > 0 {
+		w.Header()["Retry-After"] = []string{formatSeconds(retryAfter)}
+	}
 	writeText(w, fault.status, fault.text)
 	if hasBody {
 		_ = controller.Flush()   // the client may have disconnected
@@ -95,6 +102,15 @@
 	}
 }
 
+// postFault posts the event that counts a request with a fault.
+func (s *Server) postFault(fault *requestFault) {
+	if fault.isOverload {
+		s.options.Post(core.RequestRejected{Reason: core.ReplyOutOfMemory})
+		return
+	}
+	s.options.Post(core.RequestMalformed{Cause: fault.cause})
+}
+
 // serveReady answers GET /ready.
 func (s *Server) serveReady(w http.ResponseWriter) {
 	if s.ready.Load() {
--- a/internal/httpserver/handover.go
+++ b/internal/httpserver/handover.go
@@ -39,7 +39,7 @@
 	defer s.mu.Unlock()
 	s.moveConn = moveConn
 	for _, c := range s.conns(stateIdle, stateNew) {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		_ = c.setReadDeadlineLocked(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
 
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -17,9 +17,9 @@
 	// maxReadAhead is the number of bytes read beyond a request in progress at which reading ahead stops; the last read
 	// may exceed it.
 	maxReadAhead = 16 << 10
-	// standInRequest takes the place of a request whose head exceeds the limits: net/http reads this one, and ServeHTTP
-	// answers it as too large.
-	standInRequest = "GET / HTTP/1.1\r\nHost: too-large\r\n\r\n"
+	// standInRequest takes the place of a request with an inputFault: net/http reads this one, and ServeHTTP answers it with
+	// the fault.
+	standInRequest = "GET / HTTP/1.1\r\nHost: fault\r\n\r\n"
 )
 
 var (
@@ -27,6 +27,8 @@
 	errInputDiscarded = errors.New("input is discarded")
 	// errReadAheadFull means that no more of a connection is read ahead.
 	errReadAheadFull = errors.New("read ahead is full")
+	// errOutOfMemory means that the memory for clients has no room for further input.
+	errOutOfMemory = errors.New("no memory for further input")
 )
 
 // Read implements net.Conn. Reading and the state change that follows are one step under set.mu. So if a connection
@@ -46,7 +48,14 @@
 	if c.raw == nil {
 		return c.readWithoutSocket(p)
 	}
-	if n, err = c.readSocket(p); err != nil {
+	n, err = c.readSocket(p)
+	for errors.Is(err, errOutOfMemory) {
+		if err = c.waitForMemory(); err != nil {
+			return c.failForMemory(p)
+		}
+		n, err = c.readSocket(p)
+	}
+	if err != nil {
 		c.set.mu.Lock()
 		c.readErr = err
 		c.set.mu.Unlock()
@@ -54,6 +63,18 @@
 	return n, err
 }
 
+// failForMemory ends the wait of a request for memory: net/http reads the request that takes its place, or fails to read the
+// rest of it.
+func (c *clientConn) failForMemory(p []byte) (n int, err error) {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	if c.input.passable == 0 {
+		return c.passFault(p, faultOutOfMemory), nil
+	}
+	c.inputFault = faultOutOfMemory
+	return 0, errOutOfMemory
+}
+
 // isBackgroundRead reports whether a read is the one with which net/http detects that the client disconnects while
 // a request is served: it reads a single byte.
 func isBackgroundRead(p []byte) bool { return len(p) == 1 }
@@ -79,9 +100,16 @@
 // passInput returns the number of bytes at p that net/http gets: n, or those of the request that takes the place of one whose
 // head exceeds the limits. The caller holds set.mu.
 func (c *clientConn) passInput(p []byte, n int) int {
-	if n > 0 || !c.input.tooLarge || !c.input.endKnown() { // otherwise it has taken its place already
-		return n
+	if n == 0 && c.input.tooLarge {
+		n = c.passFault(p, faultHeadTooLarge)
 	}
+	return n
+}
+
+// passFault records a fault of a request whose head was not passed on, and passes on the request that takes its place. The
+// caller holds set.mu.
+func (c *clientConn) passFault(p []byte, fault *requestFault) int {
+	c.inputFault = fault
 	c.input.replace(standInRequest)
 	return c.input.take(p)
 }
@@ -152,13 +180,12 @@
 	switch {
 	case c.state == stateClosed:
 		return 0, net.ErrClosed
-	case c.input.tooLarge:
+	case c.inputFault != nil:
 		return 0, errInputDiscarded
 	case isBackgroundRead(p):
 		return c.receiveAhead(fd, p)
-	case c.input.passable > 0: // net/http may have all of what it reads
-		n, err = rawread.Nonblocking(fd, p[:min(len(p), c.input.passable)])
-		c.recordRead(n)
+	case c.input.passable > 0:
+		n, err = c.readCharged(fd, p[:min(len(p), c.input.passable)])
 		c.input.countPassed(n)
 	default:
 		n, err = c.receiveHead(fd, p)
@@ -174,16 +201,31 @@
 		if len(c.input.buffered) > 0 {
 			into = c.set.scratch[:]
 		}
-		received, err := rawread.Nonblocking(fd, into)
+		received, err := c.readCharged(fd, into)
 		if received == 0 {
 			return 0, err
 		}
-		c.recordRead(received)
 		n = c.passReceived(p, into[:received])
 	}
 	return n, nil
 }
 
+// readCharged reads from the socket, and charges the connection for what it reads. It fails with errOutOfMemory, and reads
+// nothing, if there is input and no memory for it. The caller holds set.mu.
+func (c *clientConn) readCharged(fd uintptr, p []byte) (n int, err error) {
+	allowed := c.allowance(len(p))
+	if allowed == 0 {
+		if n, err = rawread.Peek(fd); n > 0 {
+			return 0, errOutOfMemory
+		}
+		return 0, err
+	}
+	n, err = rawread.Nonblocking(fd, p[:allowed])
+	c.charge(n)
+	c.recordRead(n)
+	return n, err
+}
+
 // mustClose reports whether a shutdown requires the connection to be closed instead of read. The caller holds set.mu.
 func (c *clientConn) mustClose(p []byte) bool {
 	if c.set.draining && c.state == stateIdle && !c.hasInput() {
@@ -198,10 +240,13 @@
 func (c *clientConn) receiveAhead(fd uintptr, p []byte) (n int, err error) {
 	err = c.readAhead(fd)
 	switch {
-	case errors.Is(err, errReadAheadFull):
+	case errors.Is(err, errReadAheadFull), errors.Is(err, errOutOfMemory) && len(c.input.buffered) > 0:
 		c.setUnseen()
 		p[0] = c.input.takeByteAhead()
 		return 1, nil
+	case errors.Is(err, errOutOfMemory):
+		c.setUnseen()
+		return 0, syscall.EAGAIN // net/http ends the read when the request is answered
 	case errors.Is(err, io.EOF):
 		return 0, nil
 	}
@@ -209,17 +254,17 @@
 }
 
 // readAhead buffers what is in the socket. It returns syscall.EAGAIN once the socket is empty, io.EOF at the end of the
-// stream, errReadAheadFull once maxReadAhead bytes are buffered, and any other error of a read. The caller holds set.mu.
+// stream, errReadAheadFull once maxReadAhead bytes are buffered, errOutOfMemory if there is no room for more, and any other
+// error of a read. The caller holds set.mu.
 func (c *clientConn) readAhead(fd uintptr) error {
 	for len(c.input.buffered) < maxReadAhead {
-		n, err := rawread.Nonblocking(fd, c.set.scratch[:])
+		n, err := c.readCharged(fd, c.set.scratch[:])
 		if err != nil {
 			return err
 		}
 		if n == 0 {
 			return io.EOF
 		}
-		c.recordRead(n)
 		c.input.add(c.set.scratch[:n])
 	}
 	return errReadAheadFull
@@ -248,18 +293,18 @@
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		return false, core.DisconnectClosed
-	case errors.Is(err, errReadAheadFull):
+	case errors.Is(err, errReadAheadFull), errors.Is(err, errOutOfMemory):
 		c.setUnseen()
 		return true, core.DisconnectUnseen
 	}
 	return true, core.DisconnectClosed
 }
 
-// isHeadTooLarge reports whether the head of the present request exceeds the limits.
-func (c *clientConn) isHeadTooLarge() bool {
+// fault returns the fault of the present request that was found as it was read; nil for none.
+func (c *clientConn) fault() *requestFault {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
-	return c.input.tooLarge
+	return c.inputFault
 }
 
 // knowsRequestEnd reports whether it is known where the present request ends and the next one begins.
@@ -270,9 +315,9 @@
 }
 
 // startHeadTimeout bounds the time for the rest of a head. net/http does so only once it has four bytes of a further request,
-// and waits for these as long as a connection may be idle.
+// and waits for these as long as a connection may be idle. The caller holds set.mu.
 func (c *clientConn) startHeadTimeout() {
-	_ = c.SetReadDeadline(c.requestStartedAt.Add(headTimeout)) // fails only on a closed connection
+	_ = c.setReadDeadlineLocked(c.requestStartedAt.Add(headTimeout)) // fails only on a closed connection
 }
 
 // recordRead updates the state after n bytes were read. The caller holds set.mu.
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -20,6 +20,8 @@
 const (
 	// maxBodyBytes is the maximum length of a request body.
 	maxBodyBytes = 64 << 10
+	// initialBodyBuffer is the size of the buffer for a body before the first byte of it is received.
+	initialBodyBuffer = 1 << 10
 	// bodyBytesPerSecond is the minimum rate at which a client has to send a body.
 	bodyBytesPerSecond = 64 << 10
 	// bodyTimeoutSlack is added to the length of a body divided by bodyBytesPerSecond. The sum is the timeout for the
@@ -38,29 +40,31 @@
 	status     int
 	text       string
 	closesConn bool // the connection is closed, because the start of the next request is not known
+	isOverload bool // the request was rejected for lack of memory, and may be sent again
 }
 
 // Faults of requests, in the order in which they are checked. core.BadID is the cause for X-Call-Id and Idempotency-Key.
 var (
-	faultEncoding     = &requestFault{core.BadFraming, http.StatusLengthRequired, "Content-Length wanted, and nothing beside it", true}
-	faultHeadTooLarge = &requestFault{core.BadFraming, http.StatusRequestHeaderFieldsTooLarge, "head too long, or too many fields", true}
-	faultVersion      = &requestFault{core.BadFraming, http.StatusHTTPVersionNotSupported, "HTTP/1.1 wanted", true}
-	faultBodyTooLong  = &requestFault{core.BadFraming, http.StatusRequestEntityTooLarge, "body too long", true}
-	faultTarget       = &requestFault{core.BadTarget, http.StatusNotFound, "no such class or customer", false}
-	faultMethod       = &requestFault{core.BadMethod, http.StatusMethodNotAllowed, "the class has another method", false}
-	faultCallID       = &requestFault{core.BadID, http.StatusBadRequest, "bad X-Call-Id", false}
-	faultKey          = &requestFault{core.BadID, http.StatusBadRequest, "bad Idempotency-Key", false}
-	faultPlan         = &requestFault{core.BadPlan, http.StatusBadRequest, "unknown plan", false}
-	faultBudget       = &requestFault{core.BadBudget, http.StatusBadRequest, "bad X-Budget", false}
-	faultQuota        = &requestFault{core.BadQuota, http.StatusBadRequest, "bad Quota-Info", false}
-	faultBodyTimeout  = &requestFault{core.BadFraming, http.StatusRequestTimeout, "body did not come", true}
-	faultBodyCutOff   = &requestFault{core.BadFraming, http.StatusBadRequest, "body broken off", true}
+	faultEncoding     = &requestFault{cause: core.BadFraming, status: http.StatusLengthRequired, text: "Content-Length wanted, and nothing beside it", closesConn: true}
+	faultHeadTooLarge = &requestFault{cause: core.BadFraming, status: http.StatusRequestHeaderFieldsTooLarge, text: "head too long, or too many fields", closesConn: true}
+	faultVersion      = &requestFault{cause: core.BadFraming, status: http.StatusHTTPVersionNotSupported, text: "HTTP/1.1 wanted", closesConn: true}
+	faultBodyTooLong  = &requestFault{cause: core.BadFraming, status: http.StatusRequestEntityTooLarge, text: "body too long", closesConn: true}
+	faultTarget       = &requestFault{cause: core.BadTarget, status: http.StatusNotFound, text: "no such class or customer"}
+	faultMethod       = &requestFault{cause: core.BadMethod, status: http.StatusMethodNotAllowed, text: "the class has another method"}
+	faultCallID       = &requestFault{cause: core.BadID, status: http.StatusBadRequest, text: "bad X-Call-Id"}
+	faultKey          = &requestFault{cause: core.BadID, status: http.StatusBadRequest, text: "bad Idempotency-Key"}
+	faultPlan         = &requestFault{cause: core.BadPlan, status: http.StatusBadRequest, text: "unknown plan"}
+	faultBudget       = &requestFault{cause: core.BadBudget, status: http.StatusBadRequest, text: "bad X-Budget"}
+	faultQuota        = &requestFault{cause: core.BadQuota, status: http.StatusBadRequest, text: "bad Quota-Info"}
+	faultBodyTimeout  = &requestFault{cause: core.BadFraming, status: http.StatusRequestTimeout, text: "body did not come", closesConn: true}
+	faultOutOfMemory  = &requestFault{status: http.StatusServiceUnavailable, text: "overloaded, try again later", closesConn: true, isOverload: true}
+	faultBodyCutOff   = &requestFault{cause: core.BadFraming, status: http.StatusBadRequest, text: "body broken off", closesConn: true}
 )
 
 // readRequest validates a request, reads its body, and returns it as an event, or its fault if it is malformed.
 func (s *Server) readRequest(r *http.Request) (*core.RequestReceived, *requestFault) {
-	if connOf(r).isHeadTooLarge() {
-		return nil, faultHeadTooLarge
+	if fault := connOf(r).fault(); fault != nil {
+		return nil, fault
 	}
 	if fault := checkFraming(r); fault != nil {
 		return nil, fault
@@ -225,7 +229,10 @@
 	seconds := float64(r.ContentLength) / bodyBytesPerSecond
 	timeout := bodyTimeoutSlack + time.Duration(seconds*float64(time.Second))
 	_ = conn.SetReadDeadline(s.options.WallClock().Add(timeout)) // fails only on a closed connection
-	body, err := io.ReadAll(r.Body)
+	body, err := readAll(r.Body, int(r.ContentLength))
+	if fault := conn.fault(); fault != nil {
+		return nil, fault
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, faultBodyTimeout
 	}
@@ -237,3 +244,23 @@
 	_ = conn.SetReadDeadline(time.Time{})
 	return body, nil
 }
+
+// readAll reads a body of a length that is not 0. Its buffer grows with what is received, and not beyond that length.
+func readAll(body io.Reader, length int) ([]byte, error) {
+	buffer := make([]byte, 0, min(length, initialBodyBuffer))
+	for {
+		if len(buffer) == cap(buffer) && len(buffer) < length {
+			larger := make([]byte, len(buffer), min(2*cap(buffer), length))
+			copy(larger, buffer)
+			buffer = larger
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"lemongate/internal/core"
 	"lemongate/internal/upstream"
@@ -18,8 +19,7 @@
 		writeServed(w, response.Response.(*upstream.Response))
 	case core.Rejected:
 		if response.RetryAfter > 0 {
-			seconds := strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 3, 64)
-			w.Header()["Retry-After"] = []string{seconds}
+			w.Header()["Retry-After"] = []string{formatSeconds(response.RetryAfter)}
 		}
 		writeText(w, http.StatusTooManyRequests, "refused, try again later")
 	case core.DuplicateID:
@@ -29,6 +29,9 @@
 	}
 }
 
+// formatSeconds returns a duration as a header value in seconds.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // writeServed writes the response of a backend.
 func writeServed(w http.ResponseWriter, served *upstream.Response) {
 	header := w.Header()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,8 +5,9 @@
 // Files: server.go has the server itself, handler.go serves a request from its head to its response, request.go
 // validates requests, parse.go parses paths and header values, response.go writes responses. Client connections:
 // connset.go has the set of all connections, accept.go accepts and rejects new ones, evict.go evicts connections,
-// shutdown.go closes them for a shutdown, handover.go moves them to another process, and clientconn.go has the
-// type of a single connection.
+// shutdown.go closes them for a shutdown, handover.go moves them to another process, memory.go bounds the memory that they
+// occupy, clientconn.go has the type of a single connection, input.go reads from it, and framing.go finds the boundaries of
+// requests in what was read.
 package httpserver
 
 import (
@@ -55,6 +56,7 @@
 	Settings    admission.Settings
 	MaxUnits    float64              // of one request; 0 for no limit
 	MaxConns    int                  // client connections open at once; 0 for no limit
+	MaxMemory   int                  // bytes of requests and responses beyond guaranteedMemory of each connection; 0 for no limit
 	LastRequest uint64               // greatest request number that an earlier process assigned
 	Now         func() time.Duration // clock for core.RequestReceived.ReceivedAt
 	WallClock   func() time.Time     // clock for the timeouts of client connections; time.Now if nil
@@ -159,6 +161,7 @@
 		s.options.Post(&core.ClientConnClosed{Unread: !notified, OverLimit: notified, Reason: reason})
 	}
 	conns.rejection = s.connRejection()
+	conns.memory.limit = s.options.MaxMemory
 	s.mu.Lock()
 	conns.setResourceFraction(s.resourceFraction)
 	s.conns.Store(conns)
