Serve a complete request on a new connection before half requests of others

Cause: a new connection beyond the limit displaced any idle connection, also one that a regular client had used a moment before, and no half request under a second old. So clients that connect again at once displaced regular ones, whatever they sent.

Change: a new connection beyond the limit displaces at once only connections that are of no use: lingering, idle for 2 s, silent, or stuck for 1 s. Otherwise its request is awaited, as before for a rejection, and once it has come completely it displaces a half request over 0.1 s old, an idle or a silent connection, in this order, and is served. Half a request gets 429 there. 48 connections may be awaited at once, not 16.

--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -4,8 +4,9 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
+
+	"lemongate/internal/rawread"
 )
 
 // This file accepts and rejects new client connections.
@@ -16,12 +17,12 @@
 	// been idle for less than minIdleTime. It is also the time to wait for the request of a rejected connection.
 	newConnTimeout = 100 * time.Millisecond
 	// maxRejectedConns is the maximum number of rejected connections that wait for their requests at once.
-	maxRejectedConns = 16
+	maxRejectedConns = 48
 	// finalAcceptTimeout is the time after Close during which the server still accepts connections that the kernel
 	// has already established.
 	finalAcceptTimeout = 20 * time.Millisecond
 	// rejectionReadBytes is the buffer size for reading what a rejected client has sent.
-	rejectionReadBytes = 4 << 10
+	rejectionReadBytes = guaranteedMemory
 )
 
 // A deadlineListener is a listener whose Accept can be interrupted.
@@ -78,13 +79,13 @@
 }
 
 // admit adds a connection in the given state, and closes another connection to make room if the set is full. It
-// returns nil if it rejects the connection.
+// returns nil if the connection has to show first that its client has sent a request; see awaitRequest.
 func (s *connSet) admit(accepted net.Conn, state connState) *clientConn {
 	s.mu.Lock()
 	var evicted evictedConn
 	if s.isFull() {
-		evicted = s.evictLeastUseful()
-		if evicted.clientConn == nil { // no connection may be closed, for example because all have requests in progress
+		evicted = s.evictFirst(uselessConns)
+		if evicted.clientConn == nil { // no connection may be closed for one of which no request is known
 			state = stateRejected
 		}
 	}
@@ -103,10 +104,10 @@
 	s.mu.Unlock()
 	evicted.finish()
 	switch {
-	case requestReceived: // reject does not have to wait
-		conn.reject()
+	case requestReceived: // awaitRequest does not have to wait
+		conn.awaitRequest()
 	case state == stateRejected:
-		go conn.reject()
+		go conn.awaitRequest()
 	default:
 		return conn
 	}
@@ -119,13 +120,18 @@
 	return s.maxConns > 0 && s.open-s.byState[stateRejected].Len() >= s.connLimit()
 }
 
-// reject closes a new connection for which there is no room. It answers the request with 429 once the request
-// arrives, and reads what the client has sent, because closing a socket with unread input resets the connection. It
-// ends within the set's rejectionTimeout plus the timeout of a write.
-func (c *clientConn) reject() {
+// awaitRequest waits for the request of a new connection for which there is no room. If a complete request arrives, and
+// another connection may be closed for it, the connection is served. Otherwise awaitRequest answers the request with 429 and
+// closes the connection. It reads what the client has sent, because closing a socket with unread input resets the connection.
+// It ends within the set's rejectionTimeout plus the timeout of a write.
+func (c *clientConn) awaitRequest() {
 	_ = c.SetReadDeadline(time.Now().Add(c.set.rejectionTimeout)) // fails only on a closed connection
 	notified := false
 	if c.readRequestStart() {
+		if c.displaceOther() {
+			c.set.serve(c)
+			return
+		}
 		_, err := c.Write(c.set.rejection)
 		notified = err == nil // the write fails if the connection was closed for another new one
 	}
@@ -133,23 +139,58 @@
 	c.set.onRejected(notified)
 }
 
-// readRequestStart waits for the first bytes of a request, reads all input that has arrived, and reports whether
-// there was any.
+// displaceOther closes another connection for this one, which is beyond the limit, if a complete request was received here.
+// It reports whether this connection is to be served.
+func (c *clientConn) displaceOther() bool {
+	c.set.mu.Lock()
+	if c.state != stateRejected || !c.input.hasWholeRequest() {
+		c.set.mu.Unlock()
+		return false
+	}
+	var evicted evictedConn
+	if c.set.isFull() {
+		evicted = c.set.evictFirst(connsWithoutRequest)
+		if evicted.clientConn == nil {
+			c.set.mu.Unlock()
+			return false
+		}
+	}
+	c.setStateLocked(stateReading)
+	c.hasRequestBytes = true
+	c.charge(len(c.input.buffered))
+	_ = c.setReadDeadlineLocked(time.Time{}) // fails only on a closed connection
+	c.set.mu.Unlock()
+	evicted.finish()
+	return true
+}
+
+// readRequestStart waits for the first bytes of a request, reads all input that has arrived, and reports whether there was
+// any. It buffers rejectionReadBytes of it at most.
 func (c *clientConn) readRequestStart() bool {
 	var buffer [rejectionReadBytes]byte
 	n, _ := c.Conn.Read(buffer[:]) // an error counts as no input
 	received := n > 0
-	if c.raw == nil {
-		return received
-	}
-	_ = c.raw.Control(func(fd uintptr) { // also reads input that arrived while the process was suspended
-		for {
-			n, _ := syscall.Read(int(fd), buffer[:])
-			if n <= 0 {
-				return
+	buffered := n
+	if c.raw != nil {
+		_ = c.raw.Control(func(fd uintptr) { // also reads input that arrived while the process was suspended
+			for {
+				into := buffer[:]
+				if buffered < len(buffer) {
+					into = buffer[buffered:]
+				}
+				n, _ := rawread.Nonblocking(fd, into)
+				if n <= 0 {
+					return
+				}
+				received = true
+				buffered += n
 			}
-			received = true
-		}
-	})
+		})
+	}
+	if buffered <= len(buffer) { // otherwise some of it was overwritten
+		c.set.mu.Lock()
+		c.input.add(buffer[:buffered])
+		c.set.mu.Unlock()
+	}
 	return received
 }
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -47,6 +47,7 @@
 	// stateReading, even if its client has closed it. It is not called for idle connections that net/http's idle
 	// timeout or their clients close, nor for connections that drain, stopReading, mustClose or tryMove close.
 	onClosed         func(previous connState, reason core.CloseReason)
+	serve            func(*clientConn)   // serves a connection that Accept has not returned
 	onRejected       func(notified bool) // called for each rejected new connection: whether its client was notified
 	rejection        []byte              // the response to the request of a rejected connection
 	rejectionTimeout time.Duration       // time to wait for that request
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"slices"
 	"time"
 
 	"lemongate/internal/core"
@@ -57,24 +58,30 @@
 	return core.CloseIdle
 }
 
-// evictLeastUseful evicts the first connection that it finds in this order: a lingering one; one that has been idle
-// for minIdleTime; a new one that has sent nothing for newConnTimeout; one stuck in the middle of a request; any idle
-// one, because its client can resend a request that it sent just before the close; any new one that has sent nothing.
-// It never evicts a connection with a request in progress, nor one that has read part of a request and is not stuck.
-// The caller holds s.mu.
-func (s *connSet) evictLeastUseful() evictedConn {
-	for _, candidates := range []struct {
-		state   connState
-		minTime time.Duration
-	}{
-		{stateLingering, 0},
-		{stateIdle, minIdleTime},
-		{stateNew, newConnTimeout},
-		{stateReading, stuckReadingTime},
-		{stateIdle, 0},
-		{stateNew, 0},
-	} {
-		if evicted := s.evictLongest(candidates.state, candidates.minTime); evicted.clientConn != nil {
+// An evictionRule names connections that may be evicted: those that have been in a state for a time.
+type evictionRule struct {
+	state   connState
+	minTime time.Duration
+}
+
+// None of these rules names a connection with a request in progress.
+var (
+	// uselessConns are evicted for any new connection: lingering ones; those that have been idle for minIdleTime; new ones
+	// that have sent nothing for newConnTimeout; those that are stuck in the middle of a request.
+	uselessConns = []evictionRule{
+		{stateLingering, 0}, {stateIdle, minIdleTime}, {stateNew, newConnTimeout}, {stateReading, stuckReadingTime},
+	}
+	// connsWithoutRequest are evicted for a new connection of which a complete request was received: also those that wait
+	// for the rest of a request for newConnTimeout, any idle one, because its client can resend a request that it sent just
+	// before the close, and any new one that has sent nothing.
+	connsWithoutRequest = append(slices.Clip(uselessConns),
+		evictionRule{stateReading, newConnTimeout}, evictionRule{stateIdle, 0}, evictionRule{stateNew, 0})
+)
+
+// evictFirst evicts the first connection that it finds by the rules, in their order. The caller holds s.mu.
+func (s *connSet) evictFirst(rules []evictionRule) evictedConn {
+	for _, rule := range rules {
+		if evicted := s.evictLongest(rule.state, rule.minTime); evicted.clientConn != nil {
 			return evicted
 		}
 	}
--- a/internal/httpserver/evict_test.go
+++ b/internal/httpserver/evict_test.go
@@ -112,3 +112,38 @@
 	idle[0].expectClose()
 	idle[1].requestReady()
 }
+
+// Where the set is full of connections that wait for the rest of a request, a new connection displaces one of them only once
+// its own request has come completely. Half a request is rejected.
+func TestCompleteRequestDisplacesIncompleteOne(t *testing.T) {
+	server, elapsed := startServerWithMaxConns(t, 2)
+	server.setRejectionTimeout(20 * time.Second)
+	var stuck []*testClient
+	for range 2 {
+		client := server.connect(t)
+		client.send(validHead)
+		stuck = append(stuck, client)
+	}
+	server.awaitState(stateReading, 2)
+	server.awaitReaderBlocked()
+	elapsed.Add(int64(newConnTimeout))
+	half := server.connect(t)
+	half.send(validHead)
+	half.expectRejected()
+	if ev := <-server.events; *ev.(*core.ClientConnClosed) != (core.ClientConnClosed{OverLimit: true, Reason: core.CloseRejected}) {
+		t.Errorf("posted %+v, want ClientConnClosed with OverLimit", ev)
+	}
+	whole := server.connect(t)
+	whole.send(validRequest)
+	closed, received := <-server.events, <-server.events
+	if _, ok := closed.(*core.RequestReceived); ok { // the close is reported concurrently
+		closed, received = received, closed
+	}
+	if *closed.(*core.ClientConnClosed) != (core.ClientConnClosed{Unread: true, Reason: core.CloseIncomplete}) {
+		t.Errorf("posted %+v, want ClientConnClosed of an incomplete request", closed)
+	}
+	server.reject(received.(*core.RequestReceived).ID)
+	whole.expectRejected()
+	whole.requestReady() // it is a connection like any other
+	stuck[0].expectClose()
+}
--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -158,6 +158,11 @@
 	return true
 }
 
+// hasWholeRequest reports whether the next request is buffered completely.
+func (in *inputBuffer) hasWholeRequest() bool {
+	return in.advance(in.buffered) > 0 && in.passable <= len(in.buffered)
+}
+
 // endKnown reports whether the present request says where it ends.
 func (in *inputBuffer) endKnown() bool { return in.passable != unlimited }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -160,6 +160,7 @@
 		}
 		s.options.Post(&core.ClientConnClosed{Unread: !notified, OverLimit: notified, Reason: reason})
 	}
+	conns.serve = func(c *clientConn) { s.serveConn(conns, c) }
 	conns.rejection = s.connRejection()
 	conns.memory.limit = s.options.MaxMemory
 	s.mu.Lock()
@@ -195,6 +196,11 @@
 	if conn == nil {
 		return
 	}
+	s.serveConn(conns, conn)
+}
+
+// serveConn serves a connection that net/http did not accept from conns.
+func (s *Server) serveConn(conns *connSet, conn *clientConn) {
 	listener := &singleConnListener{conn: conn, addr: conns.Addr()}
 	_ = s.server.Serve(listener) // returns once the connection was accepted, or after Close
 	listener.once.Do(func() { _ = conn.Close() })
--- a/internal/httpserver/testserver_test.go
+++ b/internal/httpserver/testserver_test.go
@@ -125,6 +125,9 @@
 	evicted.finish()
 }
 
+// evictAny evicts a connection by any of the rules.
+func evictAny(conns *connSet) evictedConn { return conns.evictFirst(connsWithoutRequest) }
+
 // reject answers a request with 429.
 func (s *testServer) reject(id core.RequestID) {
 	s.Respond(core.Respond{Request: id, Kind: core.Rejected})
