Bound the customers that are known, and forget neither their names in heads nor timers too late

Cause: each request adds its customer and an account, also one that is rejected at once because no response can be of use. Customers are forgotten 64 at a control period, after 20 objectives. The name and the plan were parts of the request's head, which they kept in memory. Each tick and each control period walks through all customers. The timer of a request's deadline stays until then.

Change: a request of which a response is of no use adds no customer. The customers known at once are bounded, 64 for each MB of the memory limit; at the bound those are forgotten that have full buckets and no request for as long as any lasts, and the requests of other new customers get 429 with Retry-After, counted as too_many_customers. Peers' requests add accounts up to twice as many. Names are copied. Invalid timers are removed from 4,096 timers on.

TestCustomersAreBounded, TestInvalidTimersArePruned.

Price: at 32 MB 2,048 customers at once, at 192 MB 12,288; a new one beyond may be rejected while all others have been active within the longest deadline.

--- a/internal/admission/actions.go
+++ b/internal/admission/actions.go
@@ -48,6 +48,8 @@
 	EndTooLate
 	// EndShuttingDown means that the limiter shuts down, and other limiters have its customers' quotas.
 	EndShuttingDown
+	// EndTooManyCustomers means that the customer is new, and no further customer can be known now.
+	EndTooManyCustomers
 	// NumEndReasons is the number of reasons.
 	NumEndReasons
 )
@@ -56,6 +58,7 @@
 func (r EndReason) String() string {
 	return [...]string{
 		"undecided", "over_quota", "window_full", "queue_timeout", "not_retried", "unknown_class", "too_late", "shutting_down",
+		"too_many_customers",
 	}[r]
 }
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,13 +30,19 @@
 		ctl.emit(Reject{Request: ev.ID, Reason: EndUnknownClass})
 		return
 	}
-	r := &request{
-		Request: ev, class: class, customer: ctl.recordCustomerRequest(ev), receivedAt: ctl.now, deadline: ctl.now + ev.Budget,
-	}
-	r.usefulUntil = min(r.receivedAt+class.LatencyObjective, r.deadline) - ctl.recordClientBudget(class, ev)
-	if r.usefulUntil <= ctl.now {
+	usefulUntil := ctl.now + min(class.LatencyObjective, ev.Budget) - ctl.recordClientBudget(class, ev)
+	isUseful := usefulUntil > ctl.now
+	customer := ctl.recordCustomerRequest(ev, isUseful)
+	switch {
+	case !isUseful:
 		ctl.emit(Reject{Request: ev.ID, RetryAfter: ctl.settings.MaxRetryAfter, Reason: EndTooLate})
 		return
+	case customer == nil:
+		ctl.emit(Reject{Request: ev.ID, RetryAfter: ctl.settings.MaxRetryAfter, Reason: EndTooManyCustomers})
+		return
+	}
+	r := &request{
+		Request: ev, class: class, customer: customer, receivedAt: ctl.now, usefulUntil: usefulUntil, deadline: ctl.now + ev.Budget,
 	}
 	if ctl.customers.shuttingDown && r.customer.plan.limitsRate() {
 		ctl.emit(Reject{Request: ev.ID, Reason: EndShuttingDown}) // its units may be in use at another limiter already
--- a/internal/admission/customers.go
+++ b/internal/admission/customers.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"lemongate/internal/quota"
@@ -24,6 +25,11 @@
 	// attemptEndMargin is the time after its deadline for which an attempt may still be in flight, as a limiter may
 	// be delayed between reading its clock and writing.
 	attemptEndMargin = 200 * time.Millisecond
+	// makeRoomInterval is the time between two searches for customers to forget while the limit is reached.
+	makeRoomInterval = 10 * time.Millisecond
+	// accountsPerCustomer is the limit on accounts, with those that only other limiters have requests for, as a multiple of
+	// that on customers.
+	accountsPerCustomer = 2
 )
 
 // customerKey identifies a customer on a plan. Requests of a customer may name different plans, for example after a
@@ -58,6 +64,7 @@
 	slotsFreed []*customer            // whose slots were freed by the current event
 	held       map[RequestID]*request // of another process, which keep a slot without an attempt in flight here
 
+	makeRoomAt     time.Duration // clock time of the next search for customers to forget
 	firstRequestAt time.Duration // clock time of the first request; 0 for none
 	shuttingDown   bool          // ShutdownStarted was received
 }
@@ -70,9 +77,17 @@
 	return s
 }
 
-// recordCustomerRequest returns the customer of a request and updates the customer's measurements.
-func (ctl *Controller) recordCustomerRequest(ev *Request) *customer {
-	c := ctl.lookupCustomer(ev)
+// recordCustomerRequest returns the customer of a request and updates the customer's measurements. A customer that is not
+// known is added only if the request is useful and there is room for another one. Otherwise recordCustomerRequest returns
+// nil.
+func (ctl *Controller) recordCustomerRequest(ev *Request, isUseful bool) *customer {
+	c := ctl.customers.byKey[customerKey{ev.Customer, ev.Plan}]
+	if c == nil && isUseful && ctl.makeRoomForCustomer() {
+		c = ctl.lookupCustomer(ev)
+	}
+	if c == nil {
+		return nil
+	}
 	if c.meanUnits == 0 {
 		c.meanUnits = max(ev.Units, 1)
 	}
@@ -83,23 +98,50 @@
 
 // lookupCustomer returns the customer of a request. It adds an unknown customer, with an account in the ledger.
 func (ctl *Controller) lookupCustomer(ev *Request) *customer {
-	key := customerKey{ev.Customer, ev.Plan}
-	if c := ctl.customers.byKey[key]; c != nil {
+	if c := ctl.customers.byKey[customerKey{ev.Customer, ev.Plan}]; c != nil {
 		return c
 	}
-	c := &customer{name: ev.Customer, plan: &Plan{Name: ev.Plan}, planIndex: len(ctl.settings.Plans)}
+	// The names may be part of a whole head, which must not be kept with them.
+	c := &customer{name: strings.Clone(ev.Customer), planIndex: len(ctl.settings.Plans)}
 	if index, listed := ctl.customers.planIndex[ev.Plan]; listed {
 		c.plan, c.planIndex = &ctl.settings.Plans[index], index
+	} else {
+		c.plan = &Plan{Name: strings.Clone(ev.Plan)}
 	}
 	limiters := ctl.settings.Limiters
 	c.setSize = min(max(ev.SetSize, 1), limiters)
 	c.firstLimiter = (ev.FirstLimiter%limiters + limiters) % limiters
 	c.account = ctl.customers.ledger.Account(hashOf(ev.Customer), c.planIndex, c.firstLimiter, c.setSize, ctl.now)
-	ctl.customers.byKey[key] = c
+	ctl.customers.byKey[customerKey{c.name, c.plan.Name}] = c
 	ctl.customers.order = append(ctl.customers.order, c)
 	return c
 }
 
+// makeRoomForCustomer reports whether a further customer can be known. At the limit it forgets customers that have no open
+// request and full buckets, however short their idle time.
+func (ctl *Controller) makeRoomForCustomer() bool {
+	if !ctl.customers.isFull(ctl.settings.MaxCustomers) {
+		return true
+	}
+	if ctl.now < ctl.customers.makeRoomAt {
+		return false
+	}
+	ctl.customers.makeRoomAt = ctl.now + makeRoomInterval
+	ctl.customers.ledger.Sweep(ctl.maxAttemptEnd(), ctl.now)
+	ctl.dropEvictedCustomers()
+	return !ctl.customers.isFull(ctl.settings.MaxCustomers)
+}
+
+// isFull reports whether the limit on customers, 0 for none, is reached.
+func (s *customerSet) isFull(maxCustomers int) bool {
+	return maxCustomers > 0 && len(s.order) >= maxCustomers
+}
+
+// Customers returns the number of customers that are known, and the limit on it, 0 for none.
+func (ctl *Controller) Customers() (known, limit int) {
+	return len(ctl.customers.order), ctl.settings.MaxCustomers
+}
+
 // reserveQuota asks the ledger whether the customer's quota covers a request, and applies the decision. It returns
 // false if the decision has to wait for a grant of other limiters. If decideNow is set, the ledger decides at once by
 // the local state.
@@ -226,6 +268,11 @@
 // forgetIdleCustomers deletes customers that have been idle for long and whose accounts the ledger could drop.
 func (ctl *Controller) forgetIdleCustomers() {
 	ctl.customers.ledger.Sweep(seconds(forgetObjectives*ctl.classes.longestObjective.Seconds()), ctl.now)
+	ctl.dropEvictedCustomers()
+}
+
+// dropEvictedCustomers deletes the customers whose accounts the ledger has dropped.
+func (ctl *Controller) dropEvictedCustomers() {
 	ctl.customers.order = slices.DeleteFunc(ctl.customers.order, func(c *customer) bool {
 		if c.account.Evicted {
 			delete(ctl.customers.byKey, customerKey{c.name, c.plan.Name})
@@ -239,7 +286,7 @@
 func (ctl *Controller) quotaConfig() quota.Config {
 	config := quota.Config{
 		Self: ctl.settings.Self, Limiters: ctl.settings.Limiters, GossipEnabled: ctl.canGossip(), Epoch: ctl.settings.Epoch,
-		LongestAttempt: ctl.maxAttemptEnd(),
+		LongestAttempt: ctl.maxAttemptEnd(), MaxAccounts: accountsPerCustomer * ctl.settings.MaxCustomers,
 	}
 	for _, p := range ctl.settings.Plans {
 		config.Plans = append(config.Plans, quota.Plan{
--- a/internal/admission/customers_test.go
+++ b/internal/admission/customers_test.go
@@ -280,3 +280,46 @@
 		}
 	}
 }
+
+// The customers that are known are bounded: beyond the bound a request of a new customer is rejected, and known customers
+// are served. Customers that have been idle for longer than any request lasts make room for new ones. A request of which a
+// response is of no use adds no customer.
+func TestCustomersAreBounded(t *testing.T) {
+	settings := testSettings()
+	settings.MaxCustomers = 100
+	f := newFixture(t, settings, backendList("a", "b")...)
+	reasons := map[EndReason]int{}
+	send := func(customer int, budget time.Duration) (started bool) {
+		f.takeActions()
+		id := f.requestWithBudget("read", "free", fmt.Sprint("customer", customer), budget)
+		for _, attempt := range actionsOf[StartAttempt](f.actions) {
+			started = true
+			f.finish(id, 0, attempt.Backend, Succeeded, ms)
+		}
+		for _, rejected := range actionsOf[Reject](f.actions) {
+			reasons[rejected.Reason]++
+		}
+		return started
+	}
+	for customer := range 1000 {
+		send(customer, time.Second)
+		send(customer+1000, 0)
+		f.now += 20 * time.Microsecond
+	}
+	if known, limit := f.ctl.Customers(); known != 100 || limit != 100 {
+		t.Errorf("%d customers known, limit %d, want 100 of 100", known, limit)
+	}
+	if n := f.ctl.QuotaCounters().Accounts; n > 100 {
+		t.Errorf("%d accounts, want at most 100", n)
+	}
+	if reasons[EndTooManyCustomers] != 900 || reasons[EndTooLate] != 1000 {
+		t.Errorf("rejected for the reasons %v, want 900 of customers that are not known, and 1000 that are too late", reasons)
+	}
+	if !send(7, time.Second) {
+		t.Error("a request of a known customer was not forwarded")
+	}
+	f.now += f.ctl.maxAttemptEnd() + time.Minute
+	if !send(5000, time.Second) {
+		t.Error("a request of a new customer was not forwarded, though the others have been idle for long")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,9 @@
 	Settings        settings.Settings // of the service: classes, plans, and what the platform allows
 }
 
+// customersPerMB is the number of customers that are known at once for each MB of the memory limit: about a sixteenth of it.
+const customersPerMB = 64
+
 // Limits are the platform's limits for one limiter. Zero means no limit.
 type Limits struct {
 	Cores    float64 `json:"cores"`     // CPU cores
@@ -57,8 +60,10 @@
 
 // Core returns the part of the configuration that package core needs.
 func (c *Config) Core() core.Config {
+	admissionSettings := c.Settings.Settings
+	admissionSettings.MaxCustomers = int(c.Limits.MemoryMB) * customersPerMB
 	return core.Config{
-		Settings:         c.Settings.Settings,
+		Settings:         admissionSettings,
 		Seed:             c.Seed,
 		KnownEndpoints:   c.KnownEndpoints,
 		Discovery:        c.DiscoveryAddr,
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -32,16 +33,32 @@
 	metricsTimer                      // metrics changed since they were last published
 )
 
+// minPruneLength is the least number of timers at which the invalid ones are removed. Clients that send requests quickly
+// leave a timer of each until its deadline.
+const minPruneLength = 4096
+
 // timerQueue is the queue of all timers, including those that are no longer valid.
 type timerQueue struct {
 	heap    timerHeap
+	pruneAt int           // length at which the invalid timers are removed
 	armedAt time.Duration // clock time of the SetTimer in force; noTimer for none
 }
 
-func newTimerQueue() timerQueue { return timerQueue{armedAt: noTimer} }
+func newTimerQueue() timerQueue { return timerQueue{armedAt: noTimer, pruneAt: minPruneLength} }
 
 func (q *timerQueue) add(t timer) { heap.Push(&q.heap, t) }
 
+// pruneTimers removes the invalid timers if there are many timers.
+func (m *Machine) pruneTimers() {
+	q := &m.timers
+	if len(q.heap) < q.pruneAt {
+		return
+	}
+	q.heap = slices.Clip(slices.DeleteFunc(q.heap, func(t timer) bool { return !m.timerValid(t) }))
+	heap.Init(&q.heap)
+	q.pruneAt = max(2*len(q.heap), minPruneLength)
+}
+
 func (q *timerQueue) removeEarliest() { heap.Pop(&q.heap) }
 
 // nextTimer returns the earliest valid timer, and removes the invalid ones before it. Most timers become invalid before
@@ -114,6 +131,7 @@
 
 // armTimer requests a timer if the earliest one is not the one in force.
 func (m *Machine) armTimer() {
+	m.pruneTimers()
 	t, ok := m.nextTimer()
 	if !ok || t.at == m.timers.armedAt {
 		return
--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -25,3 +25,21 @@
 		t.Errorf("valid timers left: %+v", m.timers)
 	}
 }
+
+// The timers of requests that were answered at once do not pile up until their deadlines.
+func TestInvalidTimersArePruned(t *testing.T) {
+	m := newTestMachine(t)
+	for id := RequestID(1); id <= 10*minPruneLength; id++ {
+		request := newReadRequest(id, time.Hour, time.Second)
+		request.Class = "unknown" // rejected at once
+		m.Step(time.Hour, request)
+	}
+	if n := len(m.timers.heap); n > minPruneLength {
+		t.Errorf("%d timers for no open request, want at most %d", n, minPruneLength)
+	}
+	request := newReadRequest(1<<40, time.Hour, time.Second) // no backend: it waits for its deadline or that of the queue
+	m.Step(time.Hour, request)
+	if got := effectsOf[Respond](m.Step(time.Hour+time.Second, TimerFired{})); len(got) != 1 {
+		t.Errorf("%d responses at the deadline of the open request, want 1", len(got))
+	}
+}
--- a/internal/quota/config.go
+++ b/internal/quota/config.go
@@ -75,4 +75,6 @@
 	// LongestAttempt is the longest time from a reservation to the end of the attempt that it was made for. 0
 	// means that it is not known: a lent slot is then returned only by a message of the borrower.
 	LongestAttempt time.Duration
+	// MaxAccounts is the number of accounts from which on a peer's request does not add one; 0 means no limit.
+	MaxAccounts int
 }
--- a/internal/quota/transfer.go
+++ b/internal/quota/transfer.go
@@ -166,7 +166,7 @@
 // HandleRequest records a peer's report of an account, and queues a grant of what this limiter can give.
 // A transfer request that does not fit the configuration is dropped.
 func (l *Ledger) HandleRequest(peerID int, request gossip.TransferRequest, now time.Duration) {
-	if !l.isValid(peerID, request) {
+	if !l.isValid(peerID, request) || !l.hasRoomFor(request) {
 		return
 	}
 	a := l.Account(request.Customer, int(request.Plan), int(request.FirstLimiter), int(request.SetSize), now)
@@ -187,6 +187,15 @@
 	l.queueGrant(peerID, l.lend(a, lk, request, now))
 }
 
+// hasRoomFor reports whether the account that a transfer request names exists or can be added. The peer decides by its own
+// state if it gets no grant.
+func (l *Ledger) hasRoomFor(request gossip.TransferRequest) bool {
+	if l.MaxAccounts <= 0 || len(l.accountOrder) < l.MaxAccounts {
+		return true
+	}
+	return l.Find(request.Customer, int(request.Plan), int(request.FirstLimiter), int(request.SetSize)) != nil
+}
+
 // isValid reports whether a transfer request names a plan and a set that exist, and whether the peer and
 // this limiter are in that set.
 func (l *Ledger) isValid(peerID int, request gossip.TransferRequest) bool {
