Take a backend at another one's address for its successor

Cause: backends are known by their IDs alone. The list may name the old one for seconds, as it is late; its connections were refused or broke, and new ones reached the new process.

Change: of the backends that are listed with an address, the one that started last has it, among equal ones the one listed last (core/addresses.go). The others are treated as removed: connections closed, no attempts, no probes, ejected with all the rest. One comes back when it is listed with a later start or another address, or when no other is listed at its address.

Read and not changed: the same ID with a later start (connections are closed, slow start begins); attempts that were being connected as the list came (not sent); datagrams of an earlier process of a limiter (epochs); a process at the address of a predecessor in a hot restart (the link knows the process at its other end).

Price: a map of the addresses of an update for each list; none for requests.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -18,6 +18,7 @@
 // endpointList is the endpoint list and its source.
 type endpointList struct {
 	byID       map[string]*Endpoint // live and draining backends, by ID
+	superseded supersededBackends
 	generation int64
 	discovery  string // address at which the list is watched
 }
@@ -40,13 +41,15 @@
 func (m *Machine) applyEndpoints(ev *EndpointsUpdated) {
 	m.counters.EndpointUpdates++
 	m.endpoints.generation = ev.Generation
+	isComplete := ev.Kind == admission.ListComplete || ev.Kind == admission.ListCached
+	endpoints := m.endpoints.resolveAddresses(ev.Endpoints, isComplete)
 	list := &admission.EndpointList{Kind: ev.Kind}
-	for _, endpoint := range ev.Endpoints {
+	for _, endpoint := range endpoints {
 		list.Backends = append(list.Backends, endpoint.Backend)
 		m.applyEndpoint(&endpoint)
 	}
-	if ev.Kind == admission.ListComplete || ev.Kind == admission.ListCached {
-		m.removeUnlisted(ev.Endpoints)
+	if isComplete {
+		m.removeUnlisted(endpoints)
 	}
 	m.stepController(list)
 }
--- a/internal/processharness/backend.go
+++ b/internal/processharness/backend.go
@@ -19,7 +19,8 @@
 	addr string
 	tier *Tier
 
-	server *httptest.Server // the current one
+	server    *httptest.Server // the current one
+	startedAt time.Time        // as the endpoint list tells; zero for long ago
 
 	mu             sync.Mutex
 	delay          time.Duration
@@ -87,6 +88,14 @@
 	})
 }
 
+// startedAtMS returns the time of the start in the form of the endpoint list.
+func (b *Backend) startedAtMS() int64 {
+	if b.startedAt.IsZero() {
+		return 0
+	}
+	return b.startedAt.UnixMilli()
+}
+
 // SetDelay sets how long the backend takes to respond.
 func (b *Backend) SetDelay(d time.Duration) {
 	b.mu.Lock()
--- a/internal/sourcecheck/sourcecheck_test.go
+++ b/internal/sourcecheck/sourcecheck_test.go
@@ -57,6 +57,7 @@
 		{finding{"admission.renewEpoch", "ctl.endpoints.byID"}, "each backend is handled independently"},
 		{finding{"admission.renewEpoch", "ctl.gossip.peers"}, "each peer is handled independently"},
 		{finding{"core.currentMetrics", "m.endpoints.byID"}, "only counts entries"},
+		{finding{"core.hasSharedAddress", "l.byID"}, "tests only whether there is any"},
 		{finding{"core.liveBackends", "m.endpoints.byID"}, "only counts entries"},
 		{finding{"experiment.measures", "fields"}, "copies from one map to another"},
 		{finding{"experiment.summarize", "measures(r)"}, "each measure is handled independently"},
