Go on after errors of accept, listen and connect that pass

Reproduced with a listener whose accept fails once: the process ends with exit code 1.

Cause: net/http's Serve goes on after EMFILE, ENFILE, ECONNABORTED and EINTR alone, after 5 ms to 1 s, and returns any other error, such as ENOBUFS, EPROTO or ENETUNREACH, which accept reports for a moment; the event loop took that for the end of the program. A socket that could not be opened at the start ended it too. A connect that this machine could not make (ENFILE, EADDRNOTAVAIL) counted as a refusal by the backend, which ejects it.

Change: package acceptretry goes on after all errors of accept but those of a listener that cannot be used, after 5 ms, for clients and for the administration server. Where resources are short a connection of no use is closed. Errors are logged once a second. At the start, addresses are tried again for 20 s while resources are short. A failed connect is no evidence against a backend if this machine caused it, and weak evidence if the network did. A read of datagrams that fails is repeated after 1 ms.

Ruled out: errors of reads and writes of clients' and backends' connections: each ends its connection (tests of both packages). Not shown: that this was the case of the report, whose logs have no line of the end.

Price: none on the way of a request.

--- a/internal/admin/listener.go
+++ b/internal/admin/listener.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"net"
 	"sync"
+
+	"lemongate/internal/acceptretry"
 )
 
 // A boundedListener keeps at most maxConns connections open. At that limit it closes the oldest connection to accept
@@ -24,7 +26,7 @@
 
 // Accept waits for the next connection.
 func (l *boundedListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
+	accepted, err := acceptretry.Accept(l.Listener, func(error) {}) // the server for clients reports the same errors
 	if err != nil {
 		return nil, err
 	}
--- a/internal/eventloop/components.go
+++ b/internal/eventloop/components.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"lemongate/internal/acceptretry"
 	"lemongate/internal/admin"
 	"lemongate/internal/config"
 	"lemongate/internal/core"
@@ -141,19 +142,20 @@
 	})
 }
 
-// openAddress calls open. If wait is set, it repeats the call while another process holds the address, for
-// addressTimeout at most.
+// openAddress calls open. It repeats the call while a resource is short and, if wait is set, while another process holds the
+// address, for addressReleaseTimeout at most.
 func (l *Loop) openAddress(wait bool, open func() error) error {
 	begin := time.Now()
 	for logged := false; ; time.Sleep(addressRetryInterval) {
 		err := open()
 		elapsed := time.Since(begin)
-		if err == nil || !wait || !errors.Is(err, syscall.EADDRINUSE) || elapsed > addressReleaseTimeout {
+		mayPass := wait && errors.Is(err, syscall.EADDRINUSE) || acceptretry.IsShortage(err)
+		if err == nil || !mayPass || elapsed > addressReleaseTimeout {
 			return err
 		}
 		if !logged && elapsed > addressLogAfter {
 			logged = true
-			l.log.Warn("waiting for another process to release a listening address", zap.Error(err))
+			l.log.Warn("waiting for a listening address", zap.Error(err))
 		}
 	}
 }
--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"lemongate/internal/acceptretry"
 	"lemongate/internal/rawread"
 )
 
@@ -21,6 +22,8 @@
 	// finalAcceptTimeout is the time after Close during which the server still accepts connections that the kernel
 	// has already established.
 	finalAcceptTimeout = 20 * time.Millisecond
+	// acceptErrorInterval is the time between two reports of errors of accept.
+	acceptErrorInterval = time.Second
 	// rejectionReadBytes is the buffer size for reading what a rejected client has sent.
 	rejectionReadBytes = guaranteedMemory
 )
@@ -32,7 +35,7 @@
 // connection to make room for it. After Close it still returns the connections that the kernel has established by then.
 func (s *connSet) Accept() (net.Conn, error) {
 	for {
-		accepted, err := s.Listener.Accept()
+		accepted, err := acceptretry.Accept(s.Listener, s.onAcceptError)
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			resumed, stopped := s.waitForResume()
@@ -55,6 +58,24 @@
 	}
 }
 
+// onAcceptError closes a connection of no use if resources are short, and reports the error, once per acceptErrorInterval.
+func (s *connSet) onAcceptError(err error) {
+	s.mu.Lock()
+	var evicted evictedConn
+	if acceptretry.IsShortage(err) {
+		evicted = s.evictFirst(uselessConns)
+	}
+	report := s.acceptErrorAt.IsZero() || s.now().Sub(s.acceptErrorAt) >= acceptErrorInterval
+	if report {
+		s.acceptErrorAt = s.now()
+	}
+	s.mu.Unlock()
+	evicted.finish()
+	if report {
+		s.reportError(err)
+	}
+}
+
 // waitForResume waits for resume or Close if accepting is paused, and reports which of them was called. If accepting
 // is not paused, both results are false. After a Close during a pause, the other process accepts new connections.
 func (s *connSet) waitForResume() (resumed, stopped bool) {
--- a/internal/httpserver/accept_test.go
+++ b/internal/httpserver/accept_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"os"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -83,3 +86,27 @@
 	server.reject(id)
 	client.response()
 }
+
+// A failingListener is a listener whose first call of Accept fails.
+type failingListener struct {
+	net.Listener
+	err  error
+	once sync.Once
+}
+
+func (l *failingListener) Accept() (conn net.Conn, err error) {
+	l.once.Do(func() { err = l.err })
+	if err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// An error of accept that passes does not end the server: the next connection is served.
+func TestAcceptingGoesOnAfterError(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENETUNREACH} {
+		err := &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+		server := startServerOn(t, &failingListener{Listener: testnet.Listen(t), err: err})
+		server.connect(t).requestReady()
+	}
+}
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -49,6 +49,7 @@
 	onClosed         func(previous connState, reason core.CloseReason)
 	serve            func(*clientConn)   // serves a connection that Accept has not returned
 	onRejected       func(notified bool) // called for each rejected new connection: whether its client was notified
+	reportError      func(error)         // called with errors of accept after which accepting goes on
 	rejection        []byte              // the response to the request of a rejected connection
 	rejectionTimeout time.Duration       // time to wait for that request
 	stopped          chan struct{}       // closed by Close
@@ -59,9 +60,10 @@
 	// connection that arrives within finalAcceptTimeout would restart that time.
 	finalAcceptStarted bool
 
-	mu      sync.Mutex
-	byState [numStates]list.List // of *clientConn, longest in the state first
-	open    int                  // number of connections in byState, rejected ones included
+	mu            sync.Mutex
+	acceptErrorAt time.Time            // when an error of accept was reported last
+	byState       [numStates]list.List // of *clientConn, longest in the state first
+	open          int                  // number of connections in byState, rejected ones included
 	// resourceFraction is the fraction of maxConns that may be open while another process has the rest. It is copied from
 	// Server.resourceFraction.
 	resourceFraction float64
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -161,6 +161,7 @@
 		s.options.Post(&core.ClientConnClosed{Unread: !notified, OverLimit: notified, Reason: reason})
 	}
 	conns.serve = func(c *clientConn) { s.serveConn(conns, c) }
+	conns.reportError = func(err error) { s.options.Log.Warn("accept failed, trying again", zap.Error(err)) }
 	conns.rejection = s.connRejection()
 	conns.memory.limit = s.options.MaxMemory
 	s.mu.Lock()
--- a/internal/peertransport/transport.go
+++ b/internal/peertransport/transport.go
@@ -24,6 +24,8 @@
 	sendQueueLength = 256
 	// flushTimeout is the time for which Close waits for the queue to be written.
 	flushTimeout = 100 * time.Millisecond
+	// readRetryInterval is the time from a failed read to the next one.
+	readRetryInterval = time.Millisecond
 	// unknownLimiter is the sender number of a datagram that is from none of the peers.
 	unknownLimiter = -1
 )
@@ -140,6 +142,7 @@
 			t.waitForResume()
 		case err != nil: // for example, an earlier datagram was refused: the next read may succeed
 			t.log.Debug("failed to receive a datagram from a peer", zap.Error(err))
+			time.Sleep(readRetryInterval) // the error may last for a moment
 		default:
 			t.post(&core.PeerMessageReceived{From: t.sender(from, n), Data: append([]byte(nil), buffer[:n]...)})
 		}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"syscall"
 
 	"lemongate/internal/admission"
 )
@@ -65,11 +67,21 @@
 		response.Header.Get("X-Rejected") == "1"
 }
 
-// resultWithoutConn returns the result of an attempt that got no connection. A connect timeout (ConnectFailed) is weaker
-// evidence against a backend than a refused connect (Unreachable).
+// localErrors are the errors of connect that this machine causes, whatever the backend is like.
+var localErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EPERM,
+}
+
+// resultWithoutConn returns the result of an attempt that got no connection. An error of this machine (NotSent) is no evidence
+// against a backend; a connect timeout or an error of the network (ConnectFailed) is weaker evidence than a refused connect
+// (Unreachable).
 func resultWithoutConn(err error) admission.Result {
+	isCause := func(cause error) bool { return errors.Is(err, cause) }
 	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	switch {
+	case slices.ContainsFunc(localErrors, isCause):
+		return admission.NotSent
+	case errors.As(err, &netErr) && netErr.Timeout(), errors.Is(err, syscall.ENETUNREACH), errors.Is(err, syscall.EHOSTUNREACH):
 		return admission.ConnectFailed
 	}
 	return admission.Unreachable
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"net"
+	"os"
 	"reflect"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,3 +115,19 @@
 		})
 	}
 }
+
+// A connect that this machine cannot make is no evidence against a backend, one that the network cannot make only weak
+// evidence.
+func TestResultOfFailedConnect(t *testing.T) {
+	for errno, want := range map[syscall.Errno]admission.Result{
+		syscall.ENFILE: admission.NotSent, syscall.EMFILE: admission.NotSent, syscall.ENOBUFS: admission.NotSent,
+		syscall.EADDRNOTAVAIL: admission.NotSent, syscall.ENETUNREACH: admission.ConnectFailed,
+		syscall.EHOSTUNREACH: admission.ConnectFailed, syscall.ETIMEDOUT: admission.ConnectFailed,
+		syscall.ECONNREFUSED: admission.Unreachable, syscall.ECONNRESET: admission.Unreachable,
+	} {
+		err := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+		if got := resultWithoutConn(err); got != want {
+			t.Errorf("%v: got result %v, want %v", errno, got, want)
+		}
+	}
+}
