Tell a backend what is left of the client's time once the connection is up

Cause: X-Budget was the time left when the attempt was started, before it had a connection.

Change: it is computed when the request is sent on the connection. An attempt whose time is over by then is not sent.

Test: TestBudgetIsWhatIsLeftOnceConnected, failed before: told 1234m, 1034m wanted. Price: one reading of the clock an attempt.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -36,6 +36,7 @@
 	backend       *backend
 	cancelContext context.CancelFunc
 	now           func() time.Duration
+	endsAt        time.Duration // clock time at which the attempt is canceled
 	startBefore   time.Duration // the first byte must be written before this clock time; 0 for no bound
 
 	startExpired    atomic.Bool // startBefore passed before the first byte was written
@@ -204,9 +205,13 @@
 	responseTimer := time.AfterFunc(initialResponseTimeout, a.closeConn)
 	defer responseTimer.Stop()
 	ctx = httptrace.WithClientTrace(ctx, c.trace(a, responseTimer))
+	remaining := a.endsAt - a.now()
+	if remaining <= 0 {
+		return outcome{result: admission.NotSent}
+	}
 	content := e.Content.(*Request)
 	body := newRequestBody(content.Body)
-	response, err := conn.transport.RoundTrip(newRequest(ctx, body, content, e))
+	response, err := conn.transport.RoundTrip(newRequest(ctx, body, content, e, remaining))
 	if errors.Is(err, errBackendClosed) || a.startExpired.Load() {
 		return outcome{result: admission.NotSent}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -54,7 +54,7 @@
 	MaxConns          int                  // bound on open connections to all backends together; 0 for none
 	ResponseTimeout   time.Duration        // from the first byte of a response; 0 for defaultResponseTimeout
 	Post              func(core.Event)     // called with each core.AttemptFinished and core.ProbeFinished
-	Now               func() time.Duration // the clock of core.StartAttempt.StartBefore
+	Now               func() time.Duration // the clock of core.StartAttempt
 }
 
 // A Client makes all attempts and probes of a limiter. Its methods may be called from any goroutine; none of
@@ -118,6 +118,7 @@
 	c.mu.Lock()
 	a := &attempt{
 		backend: c.backend(e.Backend, e.Addr), cancelContext: cancel, startBefore: e.StartBefore, now: c.options.Now,
+		endsAt: c.options.Now() + e.Timeout,
 	}
 	c.attempts[e.Attempt] = a
 	c.mu.Unlock()
--- a/internal/upstream/fakebackend_test.go
+++ b/internal/upstream/fakebackend_test.go
@@ -111,7 +111,7 @@
 	events := make(chan core.Event, 16)
 	options := Options{
 		ConnectTimeout: time.Second, IdleClose: time.Minute, LoadReportFields: []string{"latency_ms", "util"},
-		MaxIdlePerBackend: 4, Post: func(ev core.Event) { events <- ev },
+		MaxIdlePerBackend: 4, Post: func(ev core.Event) { events <- ev }, Now: func() time.Duration { return 0 },
 	}
 	for _, c := range configure {
 		c(&options)
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -92,7 +92,7 @@
 		defer func() { _ = l.Close() }()
 		var mu sync.Mutex
 		outcomes := map[core.AttemptID]*core.AttemptFinished{}
-		client := New(Options{ConnectTimeout: time.Second, IdleClose: time.Minute, MaxIdlePerBackend: 2, ResponseTimeout: 20 * time.Millisecond, Post: func(ev core.Event) {
+		client := New(Options{ConnectTimeout: time.Second, IdleClose: time.Minute, MaxIdlePerBackend: 2, ResponseTimeout: 20 * time.Millisecond, Now: func() time.Duration { return 0 }, Post: func(ev core.Event) {
 			e := ev.(*core.AttemptFinished)
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"lemongate/internal/core"
 )
@@ -39,12 +40,12 @@
 // Close implements io.Closer.
 func (b *requestBody) Close() error { return nil }
 
-// newRequest returns the HTTP request of an attempt. Its Body is never nil and it has no GetBody. Otherwise
+// newRequest returns the HTTP request of an attempt that ends after the remaining time. Its Body is never nil and it has no GetBody. Otherwise
 // http.Transport would by itself retry a GET, or any request with an Idempotency-Key, when a reused connection turns
 // out to be closed.
-func newRequest(ctx context.Context, body *requestBody, content *Request, e core.StartAttempt) *http.Request {
+func newRequest(ctx context.Context, body *requestBody, content *Request, e core.StartAttempt, remaining time.Duration) *http.Request {
 	r := &http.Request{
-		Method: content.Method, Host: content.Host, Header: requestHeader(content, e),
+		Method: content.Method, Host: content.Host, Header: requestHeader(content, e, remaining),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:           &url.URL{Scheme: "http", Host: e.Addr, Opaque: content.URI}, // Opaque is sent unchanged
 		Body:          body,
@@ -58,10 +59,10 @@
 	return r.WithContext(ctx)
 }
 
-func requestHeader(content *Request, e core.StartAttempt) http.Header {
+func requestHeader(content *Request, e core.StartAttempt, remaining time.Duration) http.Header {
 	header := http.Header{
 		"X-Call-Id":  {content.CallID},
-		"X-Budget":   {strconv.FormatInt(max(e.Timeout.Milliseconds(), 1), 10) + "m"},
+		"X-Budget":   {strconv.FormatInt(max(remaining.Milliseconds(), 1), 10) + "m"},
 		"User-Agent": nil, // suppresses Go's default
 	}
 	if e.Token > 0 {
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -3,9 +3,12 @@
 import (
 	"net/http"
 	"reflect"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"lemongate/internal/admission"
+	"lemongate/internal/core"
 )
 
 // By itself, http.Transport retries a GET, and any request with an Idempotency-Key, when a reused connection breaks.
@@ -73,3 +76,26 @@
 		client.Close()
 	}
 }
+
+// A backend is told how long the client still waits when the request is sent, not when the attempt started: connecting takes
+// part of that time. An attempt whose time is over is not sent.
+func TestBudgetIsWhatIsLeftOnceConnected(t *testing.T) {
+	for connecting, want := range map[time.Duration]string{200 * time.Millisecond: "1034m", 1234 * time.Millisecond: ""} {
+		backend := startBackend(t, response("200 OK", "", ""))
+		var now atomic.Int64
+		client := newTestClient(backend.listener.Addr().String(), func(o *Options) {
+			o.Now = func() time.Duration { return time.Duration(now.Load()) }
+		})
+		client.hooks.onConnected = func(core.AttemptID) { now.Add(int64(connecting)) }
+		got := client.attempt(get)
+		switch {
+		case want == "" && got.Result != admission.NotSent:
+			t.Errorf("after %v: result %v, want not sent", connecting, got.Result)
+		case want != "":
+			if budget := (<-backend.requests).request.Header.Get("X-Budget"); budget != want {
+				t.Errorf("after %v the backend was told a budget of %s, want %s", connecting, budget, want)
+			}
+		}
+		client.Close()
+	}
+}
