Let a complete request displace a response that its client does not read

Cause: a connection with a request in progress is never closed for another. A response that its client does not read counts as one until the write times out.

Change: where nothing else may be displaced, a complete request on a new connection displaces the response that has been stuck for longest, 1 s at least. The client can tell that its response is not whole.

Test: TestCompleteRequestDisplacesUnreadResponse (the request was rejected before). Price: none on the way of a request.

--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -35,6 +35,8 @@
 	CloseTimeout
 	// CloseMemory means that the connection was stuck in the middle of a request or a response, and its memory was needed.
 	CloseMemory
+	// CloseUnreadResponse means that the client did not read its response, and the connection was closed to make room.
+	CloseUnreadResponse
 	// CloseUnparsable means that what was received is no request.
 	CloseUnparsable
 	numCloseReasons
@@ -43,7 +45,7 @@
 // String returns the name that logs and metrics use.
 func (r CloseReason) String() string {
 	return [...]string{
-		"unknown", "idle", "silent", "incomplete", "lingering", "rejected", "rejected_unread", "client", "timeout", "memory", "unparsable",
+		"unknown", "idle", "silent", "incomplete", "lingering", "rejected", "rejected_unread", "client", "timeout", "memory", "unread_response", "unparsable",
 	}[r]
 }
 
--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lemongate/internal/acceptretry"
+	"lemongate/internal/core"
 	"lemongate/internal/rawread"
 )
 
@@ -171,6 +172,9 @@
 	var evicted evictedConn
 	if c.set.isFull() {
 		evicted = c.set.evictFirst(connsWithoutRequest)
+		if evicted.clientConn == nil {
+			evicted = c.set.evictStuckWriter(core.CloseUnreadResponse)
+		}
 		if evicted.clientConn == nil {
 			c.set.mu.Unlock()
 			return false
--- a/internal/httpserver/memory.go
+++ b/internal/httpserver/memory.go
@@ -115,25 +115,28 @@
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	for c.allowance(n) < n {
-		stuck := c.set.longestStuckWriter()
-		if stuck == nil {
+		evicted := c.set.evictStuckWriter(core.CloseMemory)
+		if evicted.clientConn == nil {
 			break
 		}
-		evicted := evictedConn{stuck, stuck.state, core.CloseMemory}
-		stuck.setStateLocked(stateClosed)
 		go evicted.finish() // ends once the socket is closed and the close reported
 	}
 	c.charge(n)
 }
 
-// longestStuckWriter returns the connection whose client has not read a response for longest, and for stuckWritingTime at
-// least; nil if there is none. The caller holds s.mu.
-func (s *connSet) longestStuckWriter() (longest *clientConn) {
+// evictStuckWriter evicts the connection whose client has not read a response for longest, and for stuckWritingTime at least.
+// The caller holds s.mu.
+func (s *connSet) evictStuckWriter(reason core.CloseReason) evictedConn {
+	var longest *clientConn
 	stuckSince := s.now().Add(-stuckWritingTime)
 	for e := s.byState[stateBusy].Front(); e != nil; e = e.Next() {
 		if c := e.Value.(*clientConn); !c.writingSince.IsZero() && !c.writingSince.After(stuckSince) {
 			longest, stuckSince = c, c.writingSince
 		}
 	}
-	return longest
+	if longest == nil {
+		return evictedConn{}
+	}
+	longest.setStateLocked(stateClosed)
+	return evictedConn{longest, stateBusy, reason}
 }
--- a/internal/httpserver/memory_test.go
+++ b/internal/httpserver/memory_test.go
@@ -173,3 +173,47 @@
 	reader.close()
 	server.checkNoMemoryUsed(t)
 }
+
+// Where all connections have responses that are not read, a complete request on a new connection displaces the one that has
+// been stuck for longest.
+func TestCompleteRequestDisplacesUnreadResponse(t *testing.T) {
+	server, elapsed := startServerWithMaxConns(t, 1)
+	server.setRejectionTimeout(20 * time.Second)
+	stuck := server.connect(t)
+	go func() { // ends when the connection is closed
+		for {
+			if _, err := stuck.conn.Write([]byte("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+				return
+			}
+		}
+	}()
+	conns := server.connSet()
+	stuckSince := func() (since time.Time) {
+		conns.mu.Lock()
+		defer conns.mu.Unlock()
+		if e := conns.byState[stateBusy].Front(); e != nil {
+			since = e.Value.(*clientConn).writingSince
+		}
+		return since
+	}
+	for writes := 0; writes < 20; time.Sleep(10 * time.Millisecond) { // until a write is blocked
+		if writes++; stuckSince().IsZero() {
+			writes = 0
+		}
+	}
+	elapsed.Add(int64(stuckWritingTime))
+	regular := server.connect(t)
+	regular.send(validRequest)
+	for {
+		switch ev := (<-server.events).(type) {
+		case *core.ClientConnClosed:
+			if ev.Reason != core.CloseUnreadResponse {
+				t.Errorf("posted %+v, want a close for an unread response", ev)
+			}
+		case *core.RequestReceived:
+			server.reject(ev.ID)
+			regular.expectRejected()
+			return
+		}
+	}
+}
