Pace connections on which request after request gets a local reply

Cause: a connection's goroutine that finds the next request in its buffer goes on for 10 ms until the next one runs, and a request that is forwarded passes some eight goroutines. Nothing bounded what one connection gets of the processor.

Change: a connection has 20 local replies at once, then 200 a second (pacing.go). Beyond the burst all connections take turns, 2,000 a second in all, none of which is further away than 0.1 s. Within the burst the processor is passed on after each local reply.

Ruled out: the queue of events (one a connection); the cost of a request: 0.1 ms.

Price: a client that gets more than 200 local replies a second on one connection waits up to 0.1 s for the next.

--- a/cmd/lemongate/misbehaving_test.go
+++ b/cmd/lemongate/misbehaving_test.go
@@ -147,6 +147,7 @@
 	}{
 		"malformed, one connection":          {processharness.FloodMalformed, 1},
 		"malformed, twelve connections":      {processharness.FloodMalformed, 12},
+		"malformed, 200 connections":         {processharness.FloodMalformed, 200},
 		"many fields, twelve connections":    {processharness.FloodFields, 12},
 		"ever new customers, one connection": {processharness.FloodCustomers, 1},
 	} {
--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -34,9 +34,10 @@
 	charged          int           // bytes of requests and responses that count as memory of this connection
 	writingSince     time.Time     // start of the write in progress; zero for none
 	readDeadline     time.Time     // of reads; zero for none
-	isUnseen         bool          // not all input behind the request in progress is read ahead, and a close would not be seen
-	readErr          error         // of the last read that failed
-	readerBlocked    bool          // net/http is waiting at the socket for more bytes, so it has no complete request
+	pacer            replyPacer
+	isUnseen         bool  // not all input behind the request in progress is read ahead, and a close would not be seen
+	readErr          error // of the last read that failed
+	readerBlocked    bool  // net/http is waiting at the socket for more bytes, so it has no complete request
 }
 
 // newClientConn returns a connection that is not yet in the set. The caller holds set.mu.
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -62,6 +62,9 @@
 				conn.chargeResponse(len(served.Body))
 			}
 			writeResponse(w, response)
+			if response.Kind != core.Served {
+				conn.pace(r.Context(), w)
+			}
 			return
 		case <-disconnected:
 			disconnected, unseen = nil, nil
@@ -100,6 +103,7 @@
 		_ = controller.Flush()   // the client may have disconnected
 		conn.setState(stateIdle) // the request is answered, and the rest of its body is not needed
 	}
+	conn.pace(r.Context(), w)
 }
 
 // postFault posts the event that counts a request with a fault.
--- /dev/null
+++ b/internal/httpserver/pacing_test.go
@@ -0,0 +1,61 @@
+package httpserver
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// The local replies on a connection come in a burst, then at a rate. All connections that have used up their bursts take
+// turns, none of which is further away than maxTurnDelay.
+func TestLocalRepliesArePaced(t *testing.T) {
+	conns := newConnSet(nil, 0, nil)
+	now := time.Unix(1000, 0)
+	conns.now = func() time.Time { return now }
+	conn := &clientConn{set: conns}
+	for i := range localReplyBurst {
+		if delay := conn.localReplyDelay(); delay > 0 {
+			t.Fatalf("delay of %v after reply %d, want none within the burst", delay, i)
+		}
+	}
+	for i := range 3 {
+		if delay, want := conn.localReplyDelay(), time.Duration(i+1)*localReplyInterval; delay != want {
+			t.Errorf("delay of %v after %d replies beyond the burst, want %v", delay, i+1, want)
+		}
+	}
+	now = now.Add(localReplyInterval * (localReplyBurst + 3))
+	if delay := conn.localReplyDelay(); delay > 0 {
+		t.Errorf("delay of %v after a pause, want none", delay)
+	}
+	longest := time.Duration(0)
+	for range 2 * maxTurnDelay / turnInterval {
+		other := &clientConn{set: conns}
+		for range localReplyBurst + 1 {
+			longest = max(longest, other.localReplyDelay())
+		}
+	}
+	if longest != maxTurnDelay {
+		t.Errorf("longest delay of many connections is %v, want %v", longest, maxTurnDelay)
+	}
+}
+
+// A client that pipelines malformed requests gets all responses, the burst at once, and no faster than the rate after that.
+func TestMalformedRequestsArePaced(t *testing.T) {
+	server := startServer(t)
+	go func() { // ends with the test process: the channel is never closed
+		for range server.events {
+		}
+	}()
+	client := server.connect(t)
+	const requests = localReplyBurst + 20
+	begin := time.Now()
+	client.send(strings.Repeat("GET /unknown/1 HTTP/1.1\nHost: x\n\n", requests))
+	for i := range requests {
+		if resp, _ := client.response(); resp.StatusCode != 404 {
+			t.Fatalf("response %d has status %d, want 404", i, resp.StatusCode)
+		}
+	}
+	if took := time.Since(begin); took < 19*localReplyInterval {
+		t.Errorf("20 responses beyond the burst took %v, want an interval between them", took)
+	}
+}
