Keep the start times of backends right when the wall clock is set

Cause: the list's start times are wall-clock times. They were converted with the wall-clock time of the program's start.

Change: the watcher notices a step as a difference between the wall clock and its own, and converts new start times by each of the clocks since, at most four: the latest that is not in the future counts. A start time that was listed before keeps its value, so that no backend seems to start again. Without a step nothing changes.

Looked at: deadlines, windows, waits and graces are of the program's clock, which is monotonic.

Price: one reading of the clock for each backend whose start is new.

--- a/internal/discovery/decode.go
+++ b/internal/discovery/decode.go
@@ -45,7 +45,7 @@
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(data, &m); err != nil {
 		return nil, 0, jsonError(err)
 	}
-	list, err = m.endpoints(origin)
+	list, err = m.endpoints(convertFrom(origin))
 	return list, m.Generation, err
 }
 
@@ -54,8 +54,17 @@
 	return fmt.Errorf("endpoint list: bad JSON: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 }
 
+// ids returns the IDs of the backends that the message names.
+func (m *message) ids() map[string]bool {
+	ids := make(map[string]bool, len(m.Instances))
+	for i := range m.Instances {
+		ids[m.Instances[i].ID] = true
+	}
+	return ids
+}
+
 // endpoints converts the message to an event.
-func (m *message) endpoints(origin time.Time) (*core.EndpointsUpdated, error) {
+func (m *message) endpoints(convert startConverter) (*core.EndpointsUpdated, error) {
 	if m.Complete && m.Instances == nil {
 		return nil, errNoInstances
 	}
@@ -64,7 +73,7 @@
 		list.Kind = admission.ListComplete
 	}
 	for i := range m.Instances {
-		endpoint, err := m.Instances[i].endpoint(origin)
+		endpoint, err := m.Instances[i].endpoint(convert)
 		if err != nil {
 			return nil, err
 		}
@@ -73,7 +82,7 @@
 	return list, nil
 }
 
-func (x *instance) endpoint(origin time.Time) (core.Endpoint, error) {
+func (x *instance) endpoint(convert startConverter) (core.Endpoint, error) {
 	if x.ID == "" {
 		return core.Endpoint{}, errNoInstanceID
 	}
@@ -85,7 +94,7 @@
 		ID: x.ID, Zone: x.Zone, Cell: x.Cell, State: state, RelativeCapacity: x.Weight,
 	}}
 	if x.StartedAtMS > 0 {
-		endpoint.StartedAt = max(time.UnixMilli(x.StartedAtMS).Sub(origin), 0)
+		endpoint.StartedAt = convert(x.ID, time.UnixMilli(x.StartedAtMS))
 	}
 	return endpoint, nil
 }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -47,7 +47,7 @@
 
 // next waits for a message and decodes it. The error wraps errInvalidMessage if the message was cut off or is
 // invalid.
-func (s *stream) next(origin time.Time) (*core.EndpointsUpdated, error) {
+func (s *stream) next(starts *startTimes) (*core.EndpointsUpdated, error) {
 	s.inMessage, s.remaining = false, maxMessageBytes
 	s.silenceTimer.Reset(s.timeout)
 	// More also returns false before "]" and "}", which Decode rejects.
@@ -60,10 +60,13 @@
 	if err := s.decoder.Decode(&m); err != nil {
 		return nil, fmt.Errorf("%w: %w", errInvalidMessage, jsonError(err))
 	}
-	list, err := m.endpoints(origin)
+	list, err := m.endpoints(starts.convert)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errInvalidMessage, err)
 	}
+	if m.Complete {
+		starts.retain(m.ids())
+	}
 	return list, nil
 }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -62,6 +62,7 @@
 	random         func() float64        // overrides the random source, in [0, 1); nil for rand.Float64
 	silenceTimeout time.Duration         // overrides defaultSilenceTimeout; 0 for the default
 	sleepOverride  func(d time.Duration) // called for each pause, instead of waiting; for tests
+	starts         *startTimes           // of the goroutine of Run
 
 	mu          sync.Mutex
 	nextAddr    string             // address of the last SetAddr; empty once Run has switched to it
@@ -106,6 +107,9 @@
 	if w.random == nil {
 		w.random = rand.Float64
 	}
+	if w.starts == nil {
+		w.starts = newStartTimes(w.Origin)
+	}
 	pauses := newBackoff(w.Limiters, w.random)
 	for ctx.Err() == nil {
 		watchCtx, moved := w.startWatch(ctx)
@@ -167,7 +171,7 @@
 	defer func() { _ = response.Body.Close() }() // the stream has ended
 	stream := newStream(response.Body, timeout, silenceTimer)
 	for {
-		list, err := stream.next(w.Origin)
+		list, err := stream.next(w.starts)
 		if errors.Is(err, errInvalidMessage) {
 			w.Generation = 0 // the change is unknown, so the complete list is requested next
 		}
