Show each bound on what clients make the process hold as a metric

Change: router_resource_used and router_resource_limit, by resource: client connections, those awaited, memory of requests and responses, connections that wait for it, customers, remembered call IDs; in the counters line as well. The admin server gets its sources as a struct.

--- a/internal/admin/collector.go
+++ b/internal/admin/collector.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,6 +29,17 @@
 	retriedDesc = reasonDesc("router_retries_total", "retries, by the result of the attempt before")
 )
 
+// Descriptions of the metrics with one value per bounded resource.
+var (
+	usedDesc  = resourceDesc("router_resource_used", "how much clients make the process hold")
+	limitDesc = resourceDesc("router_resource_limit", "the bound on it")
+)
+
+// resourceDesc describes a metric with one value per resource.
+func resourceDesc(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc(name, help, []string{"resource"}, nil)
+}
+
 func desc(name, help string) *prometheus.Desc { return prometheus.NewDesc(name, help, nil, nil) }
 
 // classDesc describes a metric with one value per request class.
@@ -44,13 +56,14 @@
 type collector struct {
 	published       *atomic.Pointer[core.Metrics]
 	attemptsWritten func() uint64
+	resources       func() []core.ResourceUsage // of the components, beside those that were published
 }
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descs chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		completedDesc, rejectedDesc, failedDesc, attemptsDesc, pendingDesc, backendsDesc, unavailableDesc,
-		closesDesc, repliesDesc, retriedDesc,
+		closesDesc, repliesDesc, retriedDesc, usedDesc, limitDesc,
 	} {
 		descs <- d
 	}
@@ -71,6 +84,12 @@
 	collectReasons(metrics, closesDesc, published.Closes.ByName())
 	collectReasons(metrics, repliesDesc, published.Replies.ByName())
 	collectReasons(metrics, retriedDesc, published.Retried.ByName())
+	for _, usage := range slices.Concat(published.Resources, c.resources()) {
+		metrics <- gauge(usedDesc, usage.Used, usage.Resource)
+		if usage.Limit > 0 {
+			metrics <- gauge(limitDesc, usage.Limit, usage.Resource)
+		}
+	}
 }
 
 // collectReasons collects a metric with one value per reason.
@@ -84,6 +103,6 @@
 	return prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
 }
 
-func gauge(d *prometheus.Desc, value int) prometheus.Metric {
-	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(value))
+func gauge(d *prometheus.Desc, value int, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(value), labels...)
 }
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -15,9 +15,11 @@
 // This file answers the calls. Scripts read the paths, statuses and bodies, which keep the wording of release 0.8.0.
 
 // routes returns the handler of all calls.
-func (s *Server) routes(attemptsWritten func() uint64) http.Handler {
+func (s *Server) routes(sources Sources) http.Handler {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(&collector{published: &s.published, attemptsWritten: attemptsWritten})
+	registry.MustRegister(&collector{
+		published: &s.published, attemptsWritten: sources.AttemptsWritten, resources: sources.Resources,
+	})
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthcheck", s.handleHealth)
 	mux.Handle("GET /stats", promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true}))
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -42,16 +42,20 @@
 	cancel    context.CancelFunc
 }
 
-// New returns a Server that does not listen yet. AttemptsWritten returns the number of attempts whose requests were
-// written to backends completely. It is called for each scrape, so this metric alone does not come from Publish, and
-// it must not block. Post is called with the events of operators' calls. It may wait for the event loop, which delays
-// only that call.
-func New(attemptsWritten func() uint64, post func(core.Event), log *zap.Logger) *Server {
+// Sources are the sources of the metrics that do not come from Publish. They are called for each scrape, and must not block.
+type Sources struct {
+	AttemptsWritten func() uint64               // attempts whose requests were written to backends completely
+	Resources       func() []core.ResourceUsage // of the server for clients
+}
+
+// New returns a Server that does not listen yet. Post is called with the events of operators' calls. It may wait for the
+// event loop, which delays only that call.
+func New(sources Sources, post func(core.Event), log *zap.Logger) *Server {
 	s := &Server{log: log, post: post}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.published.Store(&core.Metrics{})
 	s.server = &http.Server{
-		Handler:        s.routes(attemptsWritten),
+		Handler:        s.routes(sources),
 		ReadTimeout:    callTimeout,
 		WriteTimeout:   callTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -22,7 +22,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s = New(func() uint64 { return 7 }, func(core.Event) {}, zap.NewNop())
+	sources := Sources{
+		AttemptsWritten: func() uint64 { return 7 },
+		Resources:       func() []core.ResourceUsage { return nil },
+	}
+	s = New(sources, func(core.Event) {}, zap.NewNop())
 	go func() { _ = s.Serve(l) }() // ends with Close; the calls show whether it serves
 	t.Cleanup(s.Close)
 	return s, l.Addr().String()
@@ -136,9 +140,12 @@
 	metrics.Closes[core.CloseTimeout] = 3
 	metrics.Replies[core.ReplyDisconnected] = 4
 	metrics.Retried[admission.Rejected] = 5
+	metrics.Resources = []core.ResourceUsage{{Resource: "customers", Used: 6, Limit: 9}}
 	s.Publish(metrics)
 	_, body := call(t, address, "/stats")
 	for _, want := range []string{
+		`router_resource_used{resource="customers"} 6`,
+		`router_resource_limit{resource="customers"} 9`,
 		`router_client_connections_closed_total{reason="timeout"} 3`,
 		`router_local_replies_total{reason="disconnected"} 4`,
 		`router_retries_total{reason="rejected"} 5`,
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -34,6 +34,15 @@
 	Closes  CloseCounts `since:"0.9.5"` // closed client connections by reason
 	Replies ReplyCounts `since:"0.9.5"` // local replies by reason
 	Retried RetryCounts `since:"0.9.5"` // retries by the result of the attempt before
+
+	Resources []ResourceUsage `since:"0.9.5"` // what clients make the process hold
+}
+
+// ResourceUsage is how much of something that is bounded is used.
+type ResourceUsage struct {
+	Resource string // name that metrics use
+	Used     int
+	Limit    int // 0 for none
 }
 
 // metricsState is the counts by class, and when metrics were last published.
@@ -89,6 +98,15 @@
 	}
 }
 
+// resources returns the usage of what the machine bounds.
+func (m *Machine) resources() []ResourceUsage {
+	customers, maxCustomers := m.admission.controller.Customers()
+	return []ResourceUsage{
+		{"customers", customers, maxCustomers},
+		{"call_ids", len(m.requests.usedCallIDs.order), maxUsedCallIDs},
+	}
+}
+
 func (m *Machine) currentMetrics() Metrics {
 	metrics := Metrics{
 		Classes:        slices.Clone(m.metrics.classes),
@@ -99,6 +117,7 @@
 		Closes:         m.counters.Closes,
 		Replies:        m.counters.Replies,
 		Retried:        m.counters.Retried,
+		Resources:      m.resources(),
 	}
 	for id, endpoint := range m.endpoints.byID {
 		if endpoint.State != admission.Live || m.admission.controller.AvoidsBackend(id) {
--- a/internal/eventloop/components.go
+++ b/internal/eventloop/components.go
@@ -95,10 +95,21 @@
 	if l.config.AdminAddr == "" {
 		return
 	}
-	l.admin = admin.New(l.upstream.AttemptsWritten, l.post, l.log)
+	sources := admin.Sources{AttemptsWritten: l.upstream.AttemptsWritten, Resources: l.serverResources}
+	l.admin = admin.New(sources, l.post, l.log)
 	go l.admin.ListenAndServe(l.config.AdminAddr)
 }
 
+// serverResources returns what clients make the server hold; nothing before it serves. It may be called from any goroutine.
+func (l *Loop) serverResources() []core.ResourceUsage {
+	select {
+	case <-l.serving:
+		return l.server.Resources()
+	default:
+		return nil
+	}
+}
+
 // openListeners opens the sockets that the configuration names, and serves on them. If wait is set, it waits for
 // an ending process to release their addresses. It blocks the event loop, which has nothing else to do yet.
 func (l *Loop) openListeners(wait bool) error {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -279,5 +279,6 @@
 		zap.Stringer("phase", l.core.Phase()),
 		zap.Any("counts", l.core.Counters()),
 		zap.Int("backend_connections", l.upstream.Conns()),
-		zap.Int("client_sessions", clientConns))
+		zap.Int("client_sessions", clientConns),
+		zap.Any("resources", l.serverResources()))
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -264,6 +264,26 @@
 	return 0
 }
 
+// Resources returns how much of what is bounded the clients use.
+func (s *Server) Resources() []core.ResourceUsage {
+	conns := s.conns.Load()
+	if conns == nil {
+		return nil
+	}
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	usage := []core.ResourceUsage{
+		{Resource: "client_connections", Used: conns.open - conns.byState[stateRejected].Len()},
+		{Resource: "client_connections_awaited", Used: conns.byState[stateRejected].Len(), Limit: maxRejectedConns},
+		{Resource: "client_memory_bytes", Used: conns.memory.used, Limit: conns.memory.limit},
+		{Resource: "client_memory_waiting", Used: len(conns.memory.waiting)},
+	}
+	if conns.maxConns > 0 {
+		usage[0].Limit = conns.connLimit()
+	}
+	return usage
+}
+
 // SetReady sets whether GET /ready is answered with 200.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
