Look at the client once more before the first byte of an attempt

Cause: an attempt is withdrawn by the event of the disconnect alone, which passes two goroutines and the loop.

Change: a request's content has a function that reads ahead on the client's connection and tells whether the client still waits; it is called with the first byte of each attempt, beside the other conditions there. An attempt of a client that has left ends as not sent. A request that another process forwarded has none: its disconnect comes over the link.

Tests: TestNothingIsSentForClientThatLeft (the request was sent before), TestClientWaits.

--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -418,3 +418,26 @@
 		t.Error("bytes were not read in the order in which they were sent")
 	}
 }
+
+// Whether the client of a request has left shows at once, before the disconnect is posted.
+func TestClientWaits(t *testing.T) {
+	server := startServer(t)
+	client := server.connect(t)
+	client.send(validRequest)
+	ev := (<-server.events).(*core.RequestReceived)
+	waits := ev.Content.(*upstream.Request).ClientWaits
+	if !waits() {
+		t.Error("the client does not wait, want it to wait")
+	}
+	client.send(validRequest[:20]) // the start of another request does not hide the close
+	client.close()
+	for end := time.Now().Add(10 * time.Second); waits(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the client still waits after it has closed the connection")
+		}
+	}
+	if _, ok := (<-server.events).(*core.ClientDisconnected); !ok {
+		t.Error("the disconnect was not posted as well")
+	}
+	server.reject(ev.ID)
+}
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -280,6 +280,12 @@
 	}
 }
 
+// clientWaits reports whether the client of the request in progress can be seen to wait for its response.
+func (c *clientConn) clientWaits() bool {
+	disconnected, _ := c.observeClient()
+	return !disconnected
+}
+
 // observeClient reads ahead, and reports whether the client of the request in progress counts as disconnected. What the
 // client sent behind the request may hide that it has left, however long ago.
 func (c *clientConn) observeClient() (disconnected bool, reason core.DisconnectReason) {
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -103,6 +103,7 @@
 			IdempotencyKey: fields.key,
 			ContentType:    r.Header.Get("Content-Type"),
 			Body:           body,
+			ClientWaits:    connOf(r).clientWaits,
 		},
 	}, nil
 }
--- a/internal/httpserver/request_test.go
+++ b/internal/httpserver/request_test.go
@@ -35,7 +35,7 @@
 	if string(in.Body) != "12345" {
 		t.Errorf("body %q, want \"12345\"", in.Body)
 	}
-	in.Body = nil
+	in.Body, in.ClientWaits = nil, nil
 	if got, want := fmt.Sprint(in), fmt.Sprint(upstream.Request{
 		Method: "POST", URI: "/post/x/00000000b4d65521?q=%41", Host: "backend.local",
 		CallID: "9b1f03aa5c7e2d41", IdempotencyKey: "5c0f", ContentType: "text/x",
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -29,6 +29,7 @@
 //	withdraw           WithdrawAttempt        canceled if unwritten  not written to  NotSent if unwritten
 //	cancelIfUnwritten  CloseBackendConns      canceled if unwritten  not written to  NotSent if unwritten
 //	expired            the first write        unchanged              not written to  NotSent
+//	clientLeft         the first write        unchanged              not written to  NotSent
 //	closeConn          the response timer     unchanged              closed          depends on what was written
 //
 // "If unwritten" means that no byte of the request was written; otherwise the attempt continues.
@@ -37,6 +38,7 @@
 	cancelContext context.CancelFunc
 	now           func() time.Duration
 	endsAt        time.Duration // clock time at which the attempt is canceled
+	clientWaits   func() bool   // see Request; may be nil
 	startBefore   time.Duration // the first byte must be written before this clock time; 0 for no bound
 
 	startExpired    atomic.Bool // startBefore passed before the first byte was written
@@ -131,6 +133,16 @@
 	return true
 }
 
+// clientLeft reports whether the client no longer waits, and withdraws the attempt in that case. The event loop may not have
+// been told yet: the process may have been suspended, or the attempt may have waited for a connection.
+func (a *attempt) clientLeft() bool {
+	if a.clientWaits == nil || a.clientWaits() {
+		return false
+	}
+	a.withdrawn.Store(true)
+	return true
+}
+
 // closeConn closes the connection that is assigned to the attempt, if any.
 func (a *attempt) closeConn() {
 	if conn := a.currentConn(); conn != nil {
--- a/internal/upstream/backendconn.go
+++ b/internal/upstream/backendconn.go
@@ -170,7 +170,7 @@
 		return errBackendClosed
 	case c.attempt == nil:
 		return nil
-	case c.attempt.withdrawn.Load():
+	case c.attempt.withdrawn.Load(), c.attempt.clientLeft():
 		return errWithdrawn
 	case c.attempt.expired():
 		return errStartExpired
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -37,6 +37,9 @@
 	IdempotencyKey string // Idempotency-Key, empty for none
 	ContentType    string // Content-Type, empty for none
 	Body           []byte
+	// ClientWaits reports whether the client still waits for the response, also where its disconnect was not noticed yet. It
+	// is nil if another process has the client's connection.
+	ClientWaits func() bool
 }
 
 // A Response is a backend's response to a request that the backend served.
@@ -118,7 +121,7 @@
 	c.mu.Lock()
 	a := &attempt{
 		backend: c.backend(e.Backend, e.Addr), cancelContext: cancel, startBefore: e.StartBefore, now: c.options.Now,
-		endsAt: c.options.Now() + e.Timeout,
+		endsAt: c.options.Now() + e.Timeout, clientWaits: e.Content.(*Request).ClientWaits,
 	}
 	c.attempts[e.Attempt] = a
 	c.mu.Unlock()
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -99,3 +99,25 @@
 		client.Close()
 	}
 }
+
+// Nothing is sent for a client that has left by the time the request would be sent, although nobody has withdrawn the attempt.
+func TestNothingIsSentForClientThatLeft(t *testing.T) {
+	backend := startBackend(t, response("200 OK", "", ""))
+	client := newTestClient(backend.listener.Addr().String())
+	defer client.Close()
+	var left atomic.Bool
+	request := *get
+	request.ClientWaits = func() bool { return !left.Load() }
+	client.hooks.onConnected = func(core.AttemptID) { left.Store(true) }
+	if got := client.attempt(&request); got.Result != admission.NotSent {
+		t.Errorf("result %v, want not sent", got.Result)
+	}
+	left.Store(false)
+	client.hooks.onConnected = func(core.AttemptID) {}
+	if got := client.attempt(&request); got.Result != admission.Succeeded {
+		t.Errorf("result %v of a client that waits, want succeeded", got.Result)
+	}
+	if n := len(backend.requests); n != 1 {
+		t.Errorf("%d requests arrived, want that of the client that waits", n)
+	}
+}
