Answer a forwarded request that the successor rejects

Cause: the response of a rejected request that came over the link holds a nil pointer to a backend's response; the charge for the response's memory read it, and net/http closed the connection of the panic.

Change: only a served response is charged.

Test: TestLocalReplies has such a reply: EOF before, 429 since.

--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -58,8 +58,8 @@
 			if s.draining.Load() { // draining may have begun since ServeHTTP
 				closeAfterResponse(w)
 			}
-			if served, ok := response.Response.(*upstream.Response); ok {
-				conn.chargeResponse(len(served.Body))
+			if response.Kind == core.Served { // other responses may have a Response that is a nil pointer
+				conn.chargeResponse(len(response.Response.(*upstream.Response).Body))
 			}
 			writeResponse(w, response)
 			if response.Kind != core.Served {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemongate/internal/core"
+	"lemongate/internal/upstream"
 )
 
 // A local reply says whether the request may have run, and when to retry.
@@ -18,6 +19,7 @@
 	}{
 		{core.Respond{Kind: core.Rejected, RetryAfter: 250 * time.Millisecond}, 429, "0.250"},
 		{core.Respond{Kind: core.Rejected}, 429, ""},
+		{core.Respond{Kind: core.Rejected, Response: (*upstream.Response)(nil)}, 429, ""}, // as another process sends it
 		{core.Respond{Kind: core.Failed, RetryAfter: time.Second}, 502, ""},
 	} {
 		client.send(validRequest)
