Soak: misbehaving clients, low memory limits, and 0.1 s after a disconnect

Change: in each run a few clients misbehave towards one limiter, in one of six ways by the seed; every second run has a memory limit of 64 MB, which both processes of a hot restart fit in; the peak memory of each process at the end counts against its limit. A request may reach a backend 0.1 s after its client disconnected, 0.5 s before. Clients go on using open connections until SIGKILL, which comes 3.7 s after SIGTERM, as before.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -19,7 +19,7 @@
 	// deadlineSlack is how long after the budget of its request a response may still arrive.
 	deadlineSlack = 500 * time.Millisecond
 	// disconnectSlack is how long after the client disconnected its request may still reach a backend.
-	disconnectSlack = deadlineSlack
+	disconnectSlack = 100 * time.Millisecond
 	// readyWithin is how long a process of a limiter may take from its start until it accepts clients.
 	readyWithin = 10 * time.Second
 	// listPropagationTime is the time after a change of the endpoint list by which every limiter must apply it.
@@ -55,7 +55,7 @@
 }
 
 // resources are what a process uses.
-type resources struct{ descriptors, memoryKB int }
+type resources struct{ descriptors, memoryKB, peakMemoryKB int }
 
 // observations are what clients, backends and the operating system showed during a run.
 type observations struct {
@@ -72,6 +72,7 @@
 	startedAt   time.Time
 	spans       []processharness.AttemptSpan // attempts of the customers with a limit of attempts in flight
 	maxInFlight int                          // this limit
+	memoryMB    int                          // memory limit of each process
 }
 
 // check returns a line for each breach of a rule.
@@ -109,6 +110,9 @@
 		if r.memoryKB > o.fresh.memoryKB+maxExtraMemoryKB {
 			breach("limiter %d: %d KB of memory when idle, %d KB in a fresh process", number, r.memoryKB, o.fresh.memoryKB)
 		}
+		if r.peakMemoryKB > o.memoryMB<<10 {
+			breach("limiter %d: up to %d KB of memory, %d MB allowed", number, r.peakMemoryKB, o.memoryMB)
+		}
 	}
 	return breaches
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"os"
@@ -20,8 +19,11 @@
 	requestsPerSecond = 150
 	// extraIdleConns is how many idle connections every third run opens to each limiter.
 	extraIdleConns = 400
-	// socketLimit is the limit of sockets of each limiter.
+	// socketLimit is the limit of sockets of each limiter, and memoryMB that of its memory in MB; in every second run it is
+	// lowMemoryMB, which has room for the two processes of a hot restart.
 	socketLimit = 1024
+	memoryMB    = 192
+	lowMemoryMB = 64
 	// normalDelay is how long a backend takes to respond, and slowDelay during SlowBackend.
 	normalDelay = 15 * time.Millisecond
 	slowDelay   = 900 * time.Millisecond
@@ -91,7 +93,7 @@
 
 // Run runs the schedule of a seed, with limiters that are started with the command program.
 func Run(host processharness.Host, seed uint64, duration time.Duration, program ...string) Result {
-	r := newRun(host, program)
+	r := newRun(host, seed, program)
 	load := r.startLoad()
 	if seed%3 == 0 { // every third run has many idle connections
 		for n := range limiters {
@@ -100,6 +102,7 @@
 			}
 		}
 	}
+	misbehaving := r.startMisbehaving(seed)
 	for _, step := range Schedule(seed, duration) {
 		time.Sleep(time.Until(r.startedAt.Add(step.At)))
 		r.steps.Go(func() { r.perform(step) })
@@ -107,14 +110,19 @@
 	r.steps.Wait()
 	time.Sleep(time.Until(r.startedAt.Add(duration)))
 	r.observed.results = load.End()
+	misbehaving.End()
 	time.Sleep(settleTime)
 	return r.result()
 }
 
 // newRun returns a run whose limiters have been started and accept clients.
-func newRun(host processharness.Host, program []string) *run {
+func newRun(host processharness.Host, seed uint64, program []string) *run {
 	tier := processharness.New(host, limiters, backends, append(slices.Clone(program), "--operator", writeOperatorFile(host))...)
 	tier.Sockets = socketLimit
+	tier.MemoryMB = memoryMB
+	if seed%2 == 0 {
+		tier.MemoryMB = lowMemoryMB
+	}
 	tier.ReportUtilization = true
 	tier.Plans = []processharness.Plan{{Name: "free"}, {Name: "small", Rate: 5, Burst: 24, CeilingRate: 10, CeilingBurst: 48}, {Name: limitedPlan, MaxConcurrent: maxInFlight}}
 	tier.MinServiceTime = minServiceTime
@@ -134,6 +142,25 @@
 	return r
 }
 
+// misbehaviors are the ways in which a few clients misbehave towards one limiter, one way in each run.
+var misbehaviors = []struct {
+	kind    processharness.Misbehavior
+	clients int
+}{
+	{processharness.FloodMalformed, 4},
+	{processharness.StopInBody, 60},
+	{processharness.FloodCustomers, 2},
+	{processharness.FloodFields, 4},
+	{processharness.WriteSlowly, 60},
+	{processharness.StopInHead, 60},
+}
+
+// startMisbehaving starts the misbehaving clients of a run.
+func (r *run) startMisbehaving(seed uint64) *processharness.Misbehaving {
+	m := misbehaviors[seed%uint64(len(misbehaviors))]
+	return r.tier.StartMisbehaving(int(seed)%limiters, m.clients, m.kind)
+}
+
 // writeOperatorFile writes an operators' file that enables hot restarts, and returns the path.
 func writeOperatorFile(host processharness.Host) string {
 	path := filepath.Join(host.TempDir(), "operator.json")
@@ -387,7 +414,7 @@
 	o.attempts, _ = r.tier.Attempts()
 	o.arrivals = r.tier.BackendAttempts()
 	o.repeatedKeys = r.tier.RepeatedExecutions()
-	o.startedAt, o.maxInFlight = r.startedAt, maxInFlight
+	o.startedAt, o.maxInFlight, o.memoryMB = r.startedAt, maxInFlight, r.tier.MemoryMB
 	for _, span := range r.tier.AttemptSpans() {
 		if isLimited(span.Attempt) {
 			o.spans = append(o.spans, span)
@@ -420,14 +447,7 @@
 
 // resourcesOf returns the resources that a process uses, as reported by the operating system.
 func resourcesOf(p *processharness.Process) resources {
-	dir := fmt.Sprintf("/proc/%d", p.Cmd.Process.Pid)
-	descriptors, _ := os.ReadDir(dir + "/fd") // none for a process that has ended
-	status, _ := os.ReadFile(dir + "/status")
-	used := resources{descriptors: len(descriptors)}
-	for line := range bytes.Lines(status) {
-		if fields := bytes.Fields(line); len(fields) > 1 && string(fields[0]) == "VmRSS:" {
-			used.memoryKB, _ = strconv.Atoi(string(fields[1]))
-		}
-	}
-	return used
+	descriptors, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Cmd.Process.Pid)) // none for a process that has ended
+	present, peak := p.MemoryKB()
+	return resources{descriptors: len(descriptors), memoryKB: present, peakMemoryKB: peak}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,5 +1,5 @@
-// Package soak runs limiters as processes under signals, crashes, slow and unlisted backends and lost datagrams, with
-// clients that use every open connection, and checks what clients and backends observed.
+// Package soak runs limiters as processes under signals, crashes, slow and unlisted backends, lost datagrams and a few clients
+// that misbehave, with clients that use every open connection, and checks what clients and backends observed.
 //
 // The schedule of a run is drawn from its seed, so that a run can be repeated. The real processes perform the same
 // steps in each run of a seed, but at slightly different times.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,7 +70,8 @@
 		},
 		maxInFlight: 2,
 		fresh:       resources{descriptors: 20, memoryKB: 20000},
-		idle:        []resources{{descriptors: 25, memoryKB: 24000}},
+		idle:        []resources{{descriptors: 25, memoryKB: 24000, peakMemoryKB: 60000}},
+		memoryMB:    64,
 	}
 }
 
@@ -183,6 +184,7 @@
 		}, "exited by itself"},
 		{"descriptors not closed", func(o *observations) { o.idle[0].descriptors = 20 + maxExtraDescriptors + 1 }, "descriptors"},
 		{"memory not released", func(o *observations) { o.idle[0].memoryKB = 20000 + maxExtraMemoryKB + 1 }, "KB of memory when idle"},
+		{"memory limit exceeded", func(o *observations) { o.idle[0].peakMemoryKB = 64<<10 + 1 }, "64 MB allowed"},
 	} {
 		o := observationsWithoutBreach()
 		c.modify(o)
