Keep a process with many open requests within 32 MB

Cause: the bounds on what misbehaving clients occupy left out well-behaved load. At 32 MB, with 250 requests/s of which a third carry 60 kB and backends that take 1.2 s, every connection held its guaranteed share, each open attempt a connection to a backend with its buffers, and the limits of both kinds of connections followed from the sockets (client connections from 48 KiB of memory each). A request that waited for shared memory waited until its connection was evicted, which closed it unread: 75 of 1501 requests got no answer.

Change: the limits of client connections and of connections to backends follow from the memory limit where it is low (64 KiB and 128 KiB each beside 19 MB for the idle process: 208 and 104 connections at 32 MB). A request without memory waits 0.3 s and then gets 503 with Retry-After, and is no longer evicted. A connection rejected amid its request stays open for 0.5 s or until the rest has arrived, so that the close does not reset the response away.

Ruled out: a lower heap limit alone (the collector ran all the time and the peak stayed over 32 MB), smaller socket buffers (not part of the resident memory of the process).

--- a/internal/eventloop/components.go
+++ b/internal/eventloop/components.go
@@ -31,10 +31,11 @@
 
 	// clientMemoryFraction is the fraction of the memory limit for requests and responses of clients.
 	clientMemoryFraction = 1.0 / 16
-	// idleProcessMemory is the memory of a process without connections, and clientConnMemory that of a client connection,
-	// without what its requests may share.
-	idleProcessMemory = 18 << 20
-	clientConnMemory  = 48 << 10
+	// idleProcessMemory is the memory of a process without connections. Of the rest of the memory limit each client
+	// connection has clientConnMemory at least, and each connection to a backend backendConnMemory.
+	idleProcessMemory = 19 << 20
+	clientConnMemory  = 64 << 10
+	backendConnMemory = 128 << 10
 
 	// clientReceiveBuffer and clientSendBuffer are the system's buffers for each client connection: a few usual requests,
 	// and the longest response.
@@ -61,14 +62,14 @@
 	return max(min(perBackend, maxIdleConnsPerBackendOfTier/max(limiters, 1)), 1)
 }
 
-// maxClientConns returns how many client connections a limiter keeps open; 0 for no limit. Where the memory limit is low it
-// has room for fewer than the socket limit allows.
-func maxClientConns(limits config.Limits) int {
-	bySockets := int(float64(limits.Sockets) * clientConnFraction)
+// maxConns returns how many connections of a kind a limiter keeps open, with a fraction of the sockets and an amount of memory
+// for each; 0 for no limit. Where the memory limit is low it has room for fewer than the socket limit allows.
+func maxConns(limits config.Limits, socketFraction float64, memoryPerConn int) int {
+	bySockets := int(float64(limits.Sockets) * socketFraction)
 	if limits.MemoryMB <= 0 {
 		return bySockets
 	}
-	byMemory := max((int(limits.MemoryMB)<<20-idleProcessMemory)/clientConnMemory, 1)
+	byMemory := max((int(limits.MemoryMB)<<20-idleProcessMemory)/memoryPerConn, 1)
 	if bySockets == 0 {
 		return byMemory
 	}
@@ -83,7 +84,7 @@
 		IdleClose:         c.Settings.IdleClose,
 		LoadReportFields:  c.Settings.LoadReportFields,
 		MaxIdlePerBackend: maxIdleConns(maxSockets, c.Settings.Limiters),
-		MaxConns:          int(maxSockets * backendConnFraction),
+		MaxConns:          maxConns(c.Limits, backendConnFraction, backendConnMemory),
 		Post:              l.post,
 		Now:               l.now,
 	})
@@ -179,7 +180,7 @@
 	l.server = httpserver.New(httpserver.Options{
 		Settings:    c.Settings.Settings,
 		MaxUnits:    c.Settings.MaxUnits,
-		MaxConns:    maxClientConns(c.Limits),
+		MaxConns:    maxConns(c.Limits, clientConnFraction, clientConnMemory),
 		MaxMemory:   int(float64(c.Limits.MemoryMB<<20) * clientMemoryFraction),
 		LastRequest: uint64(lastRequest),
 		Now:         l.now,
--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -23,6 +23,8 @@
 	// finalAcceptTimeout is the time after Close during which the server still accepts connections that the kernel
 	// has already established.
 	finalAcceptTimeout = 20 * time.Millisecond
+	// rejectionLingerTime is how long a rejected connection stays open for the rest of its request.
+	rejectionLingerTime = 500 * time.Millisecond
 	// acceptErrorInterval is the time between two reports of errors of accept.
 	acceptErrorInterval = time.Second
 	// rejectionReadBytes is the buffer size for reading what a rejected client has sent.
@@ -157,8 +159,33 @@
 		_, err := c.Write(c.set.rejection)
 		notified = err == nil // the write fails if the connection was closed for another new one
 	}
-	_ = c.Close() // an error has no consequence here
 	c.set.onRejected(notified)
+	if notified && !c.hasWholeRequest() {
+		go c.lingerRejected() // ends within rejectionLingerTime
+		return
+	}
+	_ = c.Close() // an error has no consequence here
+}
+
+// hasWholeRequest reports whether the next request was received completely.
+func (c *clientConn) hasWholeRequest() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	return c.input.hasWholeRequest()
+}
+
+// lingerRejected closes a connection whose client was told that there is no room, once the client has closed it or sent the
+// rest of its request: a close over unread input would reset the connection, and the client might not read the response.
+func (c *clientConn) lingerRejected() {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = conn.CloseWrite() // the response was written
+	}
+	_ = c.SetReadDeadline(time.Now().Add(rejectionLingerTime)) // fails only on a closed connection
+	var discarded [rejectionReadBytes]byte
+	for err := error(nil); err == nil; {
+		_, err = c.Conn.Read(discarded[:])
+	}
+	_ = c.Close() // an error has no consequence here
 }
 
 // displaceOther closes another connection for this one, which is beyond the limit, if a complete request was received here.
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -105,15 +105,15 @@
 	return evictedConn{}
 }
 
-// mayEvict reports whether a connection in its current state may be evicted. Except when it lingers, or waits for memory, a
-// connection with input in its socket may not: after a process was suspended, sockets hold requests that arrived in the
-// meantime. The caller holds set.mu.
+// mayEvict reports whether a connection in its current state may be evicted. Except when it lingers, a connection with
+// input in its socket may not: after a process was suspended, sockets hold requests that arrived in the meantime. The
+// caller holds set.mu.
 func (c *clientConn) mayEvict() bool {
 	switch c.state {
 	case stateLingering:
 		return true
 	case stateReading:
-		return c.readerBlocked && (c.isWaitingForMemory() || !c.hasInput())
+		return c.readerBlocked && !c.hasInput()
 	}
 	return !c.hasInput()
 }
--- a/internal/httpserver/memory.go
+++ b/internal/httpserver/memory.go
@@ -9,12 +9,14 @@
 
 // This file bounds the memory that clients occupy: what was received of requests, until these are answered, and responses
 // that are being written. Each connection may occupy guaranteedMemory; what is beyond comes out of a shared amount. A request
-// that needs more than there is waits, unread, for as long as it may take to arrive. The connection that occupies least gets
-// freed memory first.
+// that needs more than there is waits, unread, and is rejected if it gets none in time. The connection that occupies least
+// gets freed memory first.
 
 const (
 	// guaranteedMemory is the number of bytes that each connection may occupy, enough for a usual request.
 	guaranteedMemory = 2 << 10
+	// maxMemoryWait is the longest time for which a request waits for memory.
+	maxMemoryWait = 300 * time.Millisecond
 	// stuckWritingTime is the time after which a response that its client does not read counts as stuck.
 	stuckWritingTime = time.Second
 )
@@ -69,9 +71,6 @@
 	least.stopWaitingForMemory()
 }
 
-// isWaitingForMemory reports whether the connection waits for memory. The caller holds set.mu.
-func (c *clientConn) isWaitingForMemory() bool { return c.set.memory.waiting[c] != nil }
-
 // stopWaitingForMemory ends a wait for memory, if there is one. The caller holds set.mu.
 func (c *clientConn) stopWaitingForMemory() {
 	if woken := c.set.memory.waiting[c]; woken != nil {
@@ -80,8 +79,8 @@
 	}
 }
 
-// waitForMemory waits until the connection may try again to read, and fails with os.ErrDeadlineExceeded at the deadline of
-// the read.
+// waitForMemory waits until the connection may try again to read, and fails with os.ErrDeadlineExceeded after maxMemoryWait, or
+// at the deadline of the read.
 func (c *clientConn) waitForMemory() error {
 	woken := make(chan struct{})
 	c.set.mu.Lock()
@@ -91,9 +90,9 @@
 	}
 	c.set.memory.waiting[c] = woken
 	c.readerBlocked = true
-	timeout := headTimeout
+	timeout := maxMemoryWait
 	if !c.readDeadline.IsZero() {
-		timeout = c.readDeadline.Sub(c.set.now())
+		timeout = min(timeout, c.readDeadline.Sub(c.set.now()))
 	}
 	c.set.mu.Unlock()
 	timer := time.NewTimer(timeout)
