Hand over the call IDs of requests that must not run again

Cause: the used call IDs are the state of one process. A successor knew those of attempts that were in flight at the transfer, not those of requests that had ended before it, of attempts that ended between the transfer and its application, and of requests between two attempts.

Change: the state of a hot restart has the used call IDs as one optional binary key, which earlier releases ignore. The successor adds those of attempts that ended before it applied the state. Found beside it: a request that ended with its attempt was removed twice and its ID remembered twice, so that the bound of 16,384 held half as many; it is removed once.

A predecessor of an earlier release hands over none, as before.

Ruled out: requests that the predecessor forwards during probation (its own table rejects those that it knows, the successor the rest).

Price: 24 bytes for each remembered ID in the transfer (a third more in JSON), nothing a request.

--- a/cmd/lemongate/misbehaving_test.go
+++ b/cmd/lemongate/misbehaving_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -268,26 +267,62 @@
 	}
 	startAll(t, tier)
 	const requests = 20
-	var ids []string
 	for n := range requests {
-		id := fmt.Sprintf("again-%d", n)
-		ids = append(ids, id)
-		text := strings.Replace(readRequestText(id, n), "GET /"+processharness.ClassIdempotent, "POST /"+processharness.ClassNonIdempotent, 1)
 		for range 2 {
-			conn, err := net.Dial("tcp", tier.Limiters[0].Addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			_, _ = conn.Write([]byte(text)) // the attempts show whether it was read
-			time.Sleep(100 * time.Millisecond)
-			_ = conn.Close() // the client leaves
+			sendAndLeave(t, tier.Limiters[0].Addr, n)
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
+	checkRanOnce(t, tier, requests)
+}
+
+// The same holds where another process of the limiter takes over before the request comes again.
+func TestRequestOfClientThatLeftRunsOnceOverHotRestart(t *testing.T) {
+	tier := newTier(t, 1, 3)
+	for _, b := range tier.Backends {
+		b.SetDelay(300 * time.Millisecond)
+	}
+	startAll(t, tier)
+	const requests = 10
+	for n := range requests {
+		sendAndLeave(t, tier.Limiters[0].Addr, n)
+	}
+	successor := tier.Limiters[0].Start()
+	processharness.WaitUntil(t, "the takeover by the successor", func() bool { return successor.HasLogged("takes over") })
+	for n := range requests {
+		sendAndLeave(t, tier.Limiters[0].Addr, n)
+	}
+	checkRanOnce(t, tier, requests)
+}
+
+func abandonedCallID(n int) string { return fmt.Sprintf("again-%d", n) }
+
+// sendAndLeave sends a request that must not be repeated, and closes the connection while a backend may work on it.
+func sendAndLeave(t *testing.T, addr string, n int) {
+	t.Helper()
+	text := readRequestText(abandonedCallID(n), n)
+	text = strings.Replace(text, "GET /"+processharness.ClassIdempotent, "POST /"+processharness.ClassNonIdempotent, 1)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = conn.Write([]byte(text)) // the attempts show whether it was read
+	time.Sleep(100 * time.Millisecond)
+	_ = conn.Close() // the client leaves
+}
+
+// checkRanOnce checks that each request of sendAndLeave reached a backend once.
+func checkRanOnce(t *testing.T, tier *processharness.Tier, requests int) {
+	t.Helper()
 	attempts, _ := tier.Attempts()
-	ran := slices.DeleteFunc(ids, func(id string) bool { return attempts[id] < 2 })
-	if len(ran) > 0 {
-		t.Errorf("%d of %d requests that must not be repeated reached backends twice", len(ran), requests)
+	repeated := 0
+	for n := range requests {
+		if attempts[abandonedCallID(n)] > 1 {
+			repeated++
+		}
+	}
+	if repeated > 0 {
+		t.Errorf("%d of %d requests that must not be repeated reached backends twice", repeated, requests)
 	}
 	if len(attempts) < requests {
 		t.Errorf("%d of %d requests reached a backend, so the test proves little", len(attempts), requests)
--- a/internal/core/callids.go
+++ b/internal/core/callids.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"lemongate/internal/admission"
@@ -14,10 +16,10 @@
 // at a backend within the longest time that a client waits.
 const maxUsedCallIDs = 16 << 10
 
-// A callIDHash stands for a call ID, whose length its client chooses.
-type callIDHash [16]byte
+// A CallIDHash stands for a call ID, whose length its client chooses.
+type CallIDHash [16]byte
 
-func hashCallID(id string) (hash callIDHash) {
+func hashCallID(id string) (hash CallIDHash) {
 	sum := sha256.Sum256([]byte(id))
 	copy(hash[:], sum[:])
 	return hash
@@ -27,23 +29,33 @@
 // long as a client may wait, from the end of the request: a client that left may send the request again until then, and an
 // attempt that was canceled may still run.
 type usedCallIDs struct {
-	until map[callIDHash]time.Duration // clock time from which an ID is forgotten
-	order []usedCallID                 // in the order of their times
+	until map[CallIDHash]time.Duration // clock time from which an ID is forgotten
+	order []UsedCallID                 // in the order of their times
 }
 
-type usedCallID struct {
-	hash  callIDHash
-	until time.Duration
+// UsedCallID is the call ID of a request that must not run again.
+type UsedCallID struct {
+	Hash  CallIDHash
+	Until time.Duration // clock time from which the ID is forgotten
 }
 
 // remember remembers an ID until a clock time, which must not be before those of earlier calls.
 func (u *usedCallIDs) remember(id string, until time.Duration) {
 	if u.until == nil {
-		u.until = map[callIDHash]time.Duration{}
+		u.until = map[CallIDHash]time.Duration{}
 	}
 	hash := hashCallID(id)
 	u.until[hash] = until
-	u.order = append(u.order, usedCallID{hash, until})
+	u.order = append(u.order, UsedCallID{hash, until})
+}
+
+// restore remembers the IDs that a predecessor handed over. It is called before any other ID is remembered.
+func (u *usedCallIDs) restore(ids []UsedCallID) {
+	u.until = make(map[CallIDHash]time.Duration, len(ids))
+	u.order = slices.SortedStableFunc(slices.Values(ids), func(a, b UsedCallID) int { return cmp.Compare(a.Until, b.Until) })
+	for _, id := range u.order {
+		u.until[id.Hash] = id.Until
+	}
 }
 
 // contains reports whether an ID is remembered.
@@ -60,11 +72,11 @@
 
 // forget forgets the IDs whose time has come.
 func (u *usedCallIDs) forget(now time.Duration) {
-	for len(u.order) > 0 && u.order[0].until <= now {
+	for len(u.order) > 0 && u.order[0].Until <= now {
 		first := u.order[0]
 		u.order = u.order[1:]
-		if u.until[first.hash] == first.until { // otherwise it was remembered again since
-			delete(u.until, first.hash)
+		if u.until[first.Hash] == first.Until { // otherwise it was remembered again since
+			delete(u.until, first.Hash)
 		}
 	}
 	if len(u.order) == 0 {
@@ -114,11 +126,29 @@
 
 // rememberCallID remembers the call ID of a request that has ended here, if the request may have run and must not run twice.
 func (m *Machine) rememberCallID(callID, class string, mayHaveRun bool) {
-	if callID != "" && mayHaveRun && m.idempotencyOf(class) != admission.Idempotent {
+	if mayHaveRun && m.mustNotRunTwice(callID, class) {
 		m.requests.usedCallIDs.remember(callID, m.now+m.longestBudget())
 	}
 }
 
+// mustNotRunTwice reports whether a request must not run again under its call ID.
+func (m *Machine) mustNotRunTwice(callID, class string) bool {
+	return callID != "" && m.idempotencyOf(class) != admission.Idempotent
+}
+
+// handedOverCallIDs returns the call IDs for the successor: those that are remembered, and those of open requests that may have
+// run and have no attempt in flight.
+func (m *Machine) handedOverCallIDs() []UsedCallID {
+	m.requests.usedCallIDs.forget(m.now)
+	ids := slices.Clone(m.requests.usedCallIDs.order)
+	for _, r := range m.requests.inOrder() {
+		if r.mayHaveRun && r.openAttempts == 0 && m.mustNotRunTwice(r.CallID, r.Class) {
+			ids = append(ids, UsedCallID{hashCallID(r.CallID), r.deadline + m.longestBudget()})
+		}
+	}
+	return ids
+}
+
 // longestBudget returns the longest time for which a client waits.
 func (m *Machine) longestBudget() (longest time.Duration) {
 	for _, class := range m.config.Settings.Classes {
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -31,6 +31,7 @@
 	OpenAttempts   []OpenAttempt
 	Usage          *usage.RecorderState  // nil if usage is not accounted for
 	LeaseAcceptors []lease.AcceptorState // what this limiter has stored as an acceptor
+	UsedCallIDs    []UsedCallID          `since:"0.9.5"` // of requests that must not run again
 }
 
 // OpenAttempt is an attempt that a predecessor has in flight.
@@ -82,6 +83,7 @@
 		Discovery:      m.endpoints.discovery,
 		LastRequest:    m.requests.lastID,
 		LeaseAcceptors: m.hotRestart.leaseAcceptors,
+		UsedCallIDs:    m.handedOverCallIDs(),
 	}
 	m.hotRestart.leaseAcceptors = nil
 	if m.usage.recorder != nil {
@@ -162,6 +164,7 @@
 	m.endpoints.discovery = state.Discovery
 	m.endpoints.generation = state.Generation
 	m.requests.lastID = state.LastRequest + requestIDGap
+	m.requests.usedCallIDs.restore(state.UsedCallIDs)
 	m.restoreController(state)
 	for _, open := range state.OpenAttempts {
 		m.onPredecessorAttemptStarted(&open)
@@ -255,8 +258,8 @@
 }
 
 // removeReceivedAttempt removes an attempt that ended before the received state was applied: it is deleted from that
-// state, and its units are added to the usage there if it may have run and they were not recorded. An attempt that
-// did not succeed may be retried, so it is kept in endedAttempts.
+// state, and its units are added to the usage there if it may have run and they were not recorded, and its call ID to those
+// that must not run again. An attempt that did not succeed may be retried, so it is kept in endedAttempts.
 func (m *Machine) removeReceivedAttempt(finished *FinishedAttempt) {
 	state := m.hotRestart.received
 	state.OpenAttempts = slices.DeleteFunc(state.OpenAttempts, func(open OpenAttempt) bool {
@@ -266,6 +269,10 @@
 		if state.Usage != nil && !open.UsageRecorded && !finished.Result.NeverRan() {
 			state.Usage.Add(m.usageKey(&open.Request), open.Units)
 		}
+		if !finished.Result.NeverRan() && m.mustNotRunTwice(open.CallID, open.Class) {
+			used := UsedCallID{hashCallID(open.CallID), state.Now + m.longestBudget()}
+			state.UsedCallIDs = append(state.UsedCallIDs, used)
+		}
 		if finished.Result != admission.Succeeded {
 			m.hotRestart.endedAttempts = append(m.hotRestart.endedAttempts, open)
 		}
@@ -288,7 +295,7 @@
 // reportRequestEnded notifies the successor that a request will have no more attempts, so that its slot is free. Only
 // plans with slots need this, and only if no attempt succeeded: ReportAttemptFinished notifies the successor of a success.
 func (m *Machine) reportRequestEnded(r *request) {
-	if !m.hotRestart.stateSent || r.attempts == 0 || r.succeeded || m.requests.byID[r.ID] != r {
+	if !m.hotRestart.stateSent || r.attempts == 0 || r.succeeded {
 		return
 	}
 	hasSlots := slices.ContainsFunc(m.config.Settings.Plans, func(p admission.Plan) bool {
--- a/internal/core/handover_test.go
+++ b/internal/core/handover_test.go
@@ -67,3 +67,51 @@
 		}
 	}
 }
+
+// A call ID of a request that ended at the predecessor, or whose attempt ended there before the successor applied the
+// state, is rejected by the successor for as long as the predecessor would have rejected it.
+func TestUsedCallIDsAreHandedOver(t *testing.T) {
+	const now = time.Hour
+	config := Config{Settings: settingsWithFreePlan(), Seed: 1, KnownEndpoints: []Endpoint{newEndpoint("b1", "h:1", admission.Live, 0)}}
+	class := slices.IndexFunc(config.Settings.Classes, func(c admission.Class) bool { return c.Idempotency == admission.NonIdempotent })
+	newRequest := func(id RequestID, callID string) *RequestReceived {
+		ev := newReadRequest(id, now, time.Second)
+		ev.Class, ev.Plan, ev.CallID = config.Settings.Classes[class].Name, "free", callID
+		return ev
+	}
+	predecessor, _ := New(now, config)
+	for id, callID := range []string{1: "ended", 2: "in flight"} {
+		if callID != "" && len(effectsOf[StartAttempt](predecessor.Step(now, newRequest(RequestID(id), callID)))) != 1 {
+			t.Fatalf("request %q: no attempt started", callID)
+		}
+	}
+	predecessor.Step(now, &AttemptFinished{Attempt: AttemptID{Request: 1}, Result: admission.Canceled})
+	predecessor.Step(now, &ClientDisconnected{Request: 1})
+	state := predecessor.buildHandoverState()
+	if len(state.OpenAttempts) != 1 || len(state.UsedCallIDs) != 1 {
+		t.Fatalf("handed over %d attempts and %d call IDs, want 1 and 1", len(state.OpenAttempts), len(state.UsedCallIDs))
+	}
+
+	successor, _ := New(now, config)
+	successor.hotRestart.received = &state
+	finished := FinishedAttempt{Attempt: state.OpenAttempts[0].attemptID(), Result: admission.Canceled}
+	successor.Step(now, &PredecessorAttemptFinished{finished})
+	successor.startAdmitting()
+	longest := successor.longestBudget()
+	for id, c := range []struct {
+		callID   string
+		at       time.Duration
+		repeated bool
+	}{
+		{"ended", now + longest - time.Millisecond, true},
+		{"in flight", now + longest - time.Millisecond, true},
+		{"other", now + longest - time.Millisecond, false},
+		{"ended", now + longest + time.Millisecond, false},
+	} {
+		effects := successor.Step(c.at, newRequest(RequestID(requestIDGap*2+id), c.callID))
+		isRepeated := slices.ContainsFunc(effectsOf[Respond](effects), func(r Respond) bool { return r.Reason == ReplyRepeated })
+		if isRepeated != c.repeated {
+			t.Errorf("%q at %v: rejected as repeated: %v, want %v", c.callID, c.at-now, isRepeated, c.repeated)
+		}
+	}
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -246,7 +246,7 @@
 
 // removeIfFinished deletes a request that is answered and has no attempt in flight.
 func (m *Machine) removeIfFinished(r *request) {
-	if !r.answered || r.openAttempts > 0 {
+	if !r.answered || r.openAttempts > 0 || m.requests.byID[r.ID] != r {
 		return
 	}
 	m.reportRequestEnded(r)
--- a/internal/eventloop/frames.go
+++ b/internal/eventloop/frames.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"time"
@@ -152,8 +153,16 @@
 	OpenAttempts   []attemptStartedFrame `json:"Out"`
 	Usage          *usage.RecorderState  `json:"Use"`
 	LeaseAcceptors []lease.AcceptorState `json:"Keepers"`
+	UsedCallIDs    usedCallIDsFrame      `json:"UsedIDs,omitempty" since:"0.9.5"`
 }
 
+// usedCallIDsFrame encodes a list of core.UsedCallID. It is binary, as the list may be long and nobody admits requests while it
+// is transferred.
+type usedCallIDsFrame []byte
+
+// usedCallIDBytes is the length of an ID in usedCallIDsFrame.
+const usedCallIDBytes = len(core.CallIDHash{}) + 8
+
 // endpointFrame encodes a core.Endpoint.
 type endpointFrame struct {
 	ID               string                 `json:"ID"`
@@ -324,6 +333,25 @@
 	}
 }
 
+// newUsedCallIDsFrame encodes IDs as their hashes, each followed by its time in ns.
+func newUsedCallIDsFrame(ids []core.UsedCallID) usedCallIDsFrame {
+	var data usedCallIDsFrame
+	for _, id := range ids {
+		data = append(data, id.Hash[:]...)
+		data = binary.BigEndian.AppendUint64(data, uint64(id.Until))
+	}
+	return data
+}
+
+func (f usedCallIDsFrame) callIDs() (ids []core.UsedCallID) {
+	for ; len(f) >= usedCallIDBytes; f = f[usedCallIDBytes:] {
+		hash := core.CallIDHash(f)
+		until := binary.BigEndian.Uint64(f[len(hash):])
+		ids = append(ids, core.UsedCallID{Hash: hash, Until: time.Duration(until)})
+	}
+	return ids
+}
+
 func newStateFrame(s core.HandoverState) stateFrame {
 	return stateFrame{
 		Now:            s.Now,
@@ -335,6 +363,7 @@
 		OpenAttempts:   memento.List(s.OpenAttempts, newAttemptStartedFrame),
 		Usage:          s.Usage,
 		LeaseAcceptors: s.LeaseAcceptors,
+		UsedCallIDs:    newUsedCallIDsFrame(s.UsedCallIDs),
 	}
 }
 
@@ -349,6 +378,7 @@
 		OpenAttempts:   memento.List(f.OpenAttempts, attemptStartedFrame.attempt),
 		Usage:          f.Usage,
 		LeaseAcceptors: f.LeaseAcceptors,
+		UsedCallIDs:    f.UsedCallIDs.callIDs(),
 	}
 }
 
--- a/internal/eventloop/frames_test.go
+++ b/internal/eventloop/frames_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"lemongate/internal/admission"
 	"lemongate/internal/core"
@@ -101,3 +102,20 @@
 		t.Errorf("frameRequestEnded is %d: its number is part of the format and must not change", frameRequestEnded)
 	}
 }
+
+// The call IDs in a state are decoded to what they were encoded from.
+func TestUsedCallIDsInState(t *testing.T) {
+	for _, ids := range [][]core.UsedCallID{nil, {{Hash: core.CallIDHash{1, 2}, Until: 5 * time.Second}, {Hash: core.CallIDHash{15: 9}, Until: 1}}} {
+		data, err := frameCodec.Marshal(newStateFrame(core.HandoverState{UsedCallIDs: ids}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ev, err := decode(link.Frame{Kind: uint8(hotrestart.Transfer), Body: data})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := ev.(*core.LinkMessageReceived).State.UsedCallIDs; !reflect.DeepEqual(got, ids) {
+			t.Errorf("decoded as %v, want %v", got, ids)
+		}
+	}
+}
