--- a/cmd/lemongate/misbehaving_test.go
+++ b/cmd/lemongate/misbehaving_test.go
@@ -59,17 +59,20 @@
 
 // startRegularLoad starts clients that send requests of all classes, one at a time on a connection.
 func startRegularLoad(tier *processharness.Tier) *processharness.Load {
-	load := tier.StartLoad(60, func(n int) processharness.Request {
-		request := processharness.Request{Class: processharness.ClassIdempotent, Plan: "free", Customer: uint64(n % 30)}
-		if n%3 == 0 {
-			request.Class, request.Key, request.Body = processharness.ClassKeyed, fmt.Sprintf("%032x", n), 1000
-		}
-		return request
-	})
+	load := tier.StartLoad(60, func(n int) processharness.Request { return newRequest(n, "free", 1000) })
 	load.EnableResend()
 	return load
 }
 
+// newRequest returns request number n of a load. Every third one has an idempotency key and a body of bodySize bytes.
+func newRequest(n int, plan string, bodySize int) processharness.Request {
+	request := processharness.Request{Class: processharness.ClassIdempotent, Plan: plan, Customer: uint64(n % 30)}
+	if n%3 == 0 {
+		request.Class, request.Key, request.Body = processharness.ClassKeyed, fmt.Sprintf("%032x", n), bodySize
+	}
+	return request
+}
+
 // checkAnsweredInTime checks that each request has its final answer in time, and returns how many were served. While a crowd
 // fills the descriptors, new connections may be closed unread; unreadAllowed is how many of them may be. Their requests
 // reached no backend, and their clients would send them once more.
@@ -136,13 +139,7 @@
 	}
 	tier.Plans = []processharness.Plan{{Name: "large", Rate: 400, Burst: 800}} // the window follows from the quotas
 	p := startAll(t, tier)[0]
-	load := tier.StartLoad(250, func(n int) processharness.Request {
-		request := processharness.Request{Class: processharness.ClassIdempotent, Plan: "large", Customer: uint64(n % 30)}
-		if n%3 == 0 {
-			request.Class, request.Key, request.Body = processharness.ClassKeyed, fmt.Sprintf("%032x", n), 60000
-		}
-		return request
-	})
+	load := tier.StartLoad(250, func(n int) processharness.Request { return newRequest(n, "large", 60000) })
 	load.EnableResend()
 	time.Sleep(misbehaviorDuration)
 	results := load.End()
