Keep the limit on customers out of the settings of the platform

It is now a field of core.Config, and is applied to the controller at the start and after a hot restart; the ledger's limit on accounts follows it.

--- a/internal/admission/customers.go
+++ b/internal/admission/customers.go
@@ -59,6 +59,7 @@
 	planIndex map[string]int // in the settings, by name
 	byKey     map[customerKey]*customer
 	order     []*customer // in the order of their first requests
+	limit     int         // on the number of customers; 0 for none
 	waiting   []*customer // with requests that wait for a grant
 
 	slotsFreed []*customer            // whose slots were freed by the current event
@@ -120,7 +121,7 @@
 // makeRoomForCustomer reports whether a further customer can be known. At the limit it forgets customers that have no open
 // request and full buckets, however short their idle time.
 func (ctl *Controller) makeRoomForCustomer() bool {
-	if !ctl.customers.isFull(ctl.settings.MaxCustomers) {
+	if !ctl.customers.isFull() {
 		return true
 	}
 	if ctl.now < ctl.customers.makeRoomAt {
@@ -129,17 +130,31 @@
 	ctl.customers.makeRoomAt = ctl.now + makeRoomInterval
 	ctl.customers.ledger.Sweep(ctl.maxAttemptEnd(), ctl.now)
 	ctl.dropEvictedCustomers()
-	return !ctl.customers.isFull(ctl.settings.MaxCustomers)
+	return !ctl.customers.isFull()
 }
 
-// isFull reports whether the limit on customers, 0 for none, is reached.
-func (s *customerSet) isFull(maxCustomers int) bool {
-	return maxCustomers > 0 && len(s.order) >= maxCustomers
+// isFull reports whether the limit on customers is reached.
+func (s *customerSet) isFull() bool {
+	return s.limit > 0 && len(s.order) >= s.limit
+}
+
+// LimitCustomers sets the number of customers that are known at once, a customer once for each plan; 0 means no limit. The
+// limit is not part of a snapshot.
+func (ctl *Controller) LimitCustomers(limit int) {
+	ctl.customers.limit = limit
+	if ledger := ctl.customers.ledger; ledger != nil {
+		ledger.MaxAccounts = ctl.customers.maxAccounts()
+	}
+}
+
+// maxAccounts returns the limit on the accounts of the ledger, 0 for none.
+func (s *customerSet) maxAccounts() int {
+	return accountsPerCustomer * s.limit
 }
 
 // Customers returns the number of customers that are known, and the limit on it, 0 for none.
 func (ctl *Controller) Customers() (known, limit int) {
-	return len(ctl.customers.order), ctl.settings.MaxCustomers
+	return len(ctl.customers.order), ctl.customers.limit
 }
 
 // reserveQuota asks the ledger whether the customer's quota covers a request, and applies the decision. It returns
@@ -286,7 +301,7 @@
 func (ctl *Controller) quotaConfig() quota.Config {
 	config := quota.Config{
 		Self: ctl.settings.Self, Limiters: ctl.settings.Limiters, GossipEnabled: ctl.canGossip(), Epoch: ctl.settings.Epoch,
-		LongestAttempt: ctl.maxAttemptEnd(), MaxAccounts: accountsPerCustomer * ctl.settings.MaxCustomers,
+		LongestAttempt: ctl.maxAttemptEnd(), MaxAccounts: ctl.customers.maxAccounts(),
 	}
 	for _, p := range ctl.settings.Plans {
 		config.Plans = append(config.Plans, quota.Plan{
--- a/internal/admission/customers_test.go
+++ b/internal/admission/customers_test.go
@@ -285,9 +285,8 @@
 // are served. Customers that have been idle for longer than any request lasts make room for new ones. A request of which a
 // response is of no use adds no customer.
 func TestCustomersAreBounded(t *testing.T) {
-	settings := testSettings()
-	settings.MaxCustomers = 100
-	f := newFixture(t, settings, backendList("a", "b")...)
+	f := newFixture(t, testSettings(), backendList("a", "b")...)
+	f.ctl.LimitCustomers(100)
 	reasons := map[EndReason]int{}
 	send := func(customer int, budget time.Duration) (started bool) {
 		f.takeActions()
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -91,8 +91,4 @@
 	// OverloadDuration. Neither value affects a decision, as slow start stays well below.
 	OverloadMultiple float64
 	OverloadDuration time.Duration
-
-	// MaxCustomers is the number of customers that are known at once, a customer once for each plan; 0 means no limit. It
-	// follows from the memory limit, and is not part of a snapshot.
-	MaxCustomers int
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -60,10 +60,9 @@
 
 // Core returns the part of the configuration that package core needs.
 func (c *Config) Core() core.Config {
-	admissionSettings := c.Settings.Settings
-	admissionSettings.MaxCustomers = int(c.Limits.MemoryMB) * customersPerMB
 	return core.Config{
-		Settings:         admissionSettings,
+		Settings:         c.Settings.Settings,
+		MaxCustomers:     int(c.Limits.MemoryMB) * customersPerMB,
 		Seed:             c.Seed,
 		KnownEndpoints:   c.KnownEndpoints,
 		Discovery:        c.DiscoveryAddr,
--- a/internal/core/controller.go
+++ b/internal/core/controller.go
@@ -17,6 +17,12 @@
 	actions    []admission.Action // of the event that is being handled
 }
 
+func newAdmissionState(config Config) admissionState {
+	controller := admission.New(config.Settings, config.Seed)
+	controller.LimitCustomers(config.MaxCustomers)
+	return admissionState{controller: controller}
+}
+
 // stepController passes an event to the admission controller and applies its actions. An event that results from an
 // action at once, such as an attempt that is not sent, is queued and handled after all actions, like an event from
 // outside.
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -212,6 +212,7 @@
 		m.applyEndpoints(&EndpointsUpdated{Kind: admission.ListCached, Endpoints: state.Endpoints, Generation: state.Generation})
 		return
 	}
+	controller.LimitCustomers(m.config.MaxCustomers)
 	m.admission.controller = controller
 	for i := range state.Endpoints {
 		endpoint := state.Endpoints[i]
--- a/internal/core/handover_test.go
+++ b/internal/core/handover_test.go
@@ -115,3 +115,32 @@
 		}
 	}
 }
+
+// A process knows no more customers than its own limit allows, also after it took over the customers of another process.
+func TestCustomerLimitAfterHotRestart(t *testing.T) {
+	const now, limit = time.Hour, 10
+	config := Config{
+		Settings: settingsWithFreePlan(), MaxCustomers: limit, Seed: 1,
+		KnownEndpoints: []Endpoint{newEndpoint("b1", "h:1", admission.Live, 0)},
+	}
+	sendOfNewCustomers := func(m *Machine, name string) {
+		for id := range RequestID(2 * limit) {
+			ev := newReadRequest(requestIDGap*2+id, now, time.Second)
+			ev.Plan, ev.Customer = "free", fmt.Sprint(name, id)
+			m.Step(now, ev)
+		}
+	}
+	predecessor, _ := New(now, config)
+	sendOfNewCustomers(predecessor, "early")
+	state := predecessor.buildHandoverState()
+
+	successor, _ := New(now, config)
+	successor.hotRestart.received = &state
+	successor.startAdmitting()
+	sendOfNewCustomers(successor, "late")
+	for name, m := range map[string]*Machine{"predecessor": predecessor, "successor": successor} {
+		if known, _ := m.admission.controller.Customers(); known != limit {
+			t.Errorf("the %s knows %d customers, want %d", name, known, limit)
+		}
+	}
+}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -26,6 +26,7 @@
 // Config is the configuration of a Machine.
 type Config struct {
 	Settings       admission.Settings
+	MaxCustomers   int        // number of customers that are known at once; 0 for no limit
 	Seed           uint64     // of the pseudo-random generators: it fixes all random choices
 	KnownEndpoints []Endpoint // the last known backends, which may be out of date
 
@@ -75,7 +76,7 @@
 		config:       config,
 		now:          now,
 		timers:       newTimerQueue(),
-		admission:    admissionState{controller: admission.New(config.Settings, config.Seed)},
+		admission:    newAdmissionState(config),
 		requests:     newRequestSet(),
 		attempts:     map[AttemptID]*attempt{},
 		endpoints:    newEndpointList(config.Discovery),
