Misbehaving clients of tests: send prepared bytes

The clients of internal/processharness made their texts anew for each connection: 2,000 fields with Fprintf, or 64 KiB with strings.Repeat, and io.WriteString copied them once more. Under the race detector, with 600 clients, that took most of the processor from the limiter and from the regular clients beside them. The bytes sent are the same, and are made once.

--- a/internal/processharness/misbehaving.go
+++ b/internal/processharness/misbehaving.go
@@ -1,11 +1,11 @@
 package processharness
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +44,9 @@
 	reconnectPause = 10 * time.Millisecond
 )
 
+// padding is what long heads and bodies consist of.
+var padding = bytes.Repeat([]byte("x"), longBodyBytes)
+
 // Misbehaving is a group of misbehaving clients.
 type Misbehaving struct {
 	Sent atomic.Int64 // requests that the flooding clients have written
@@ -119,34 +122,37 @@
 	switch m.kind {
 	case StopInHead:
 		head := m.head(ClassIdempotent, usualBudget)
-		writeAndWait(conn, head+"X-Padding: "+strings.Repeat("a", longHeadBytes-len(head)))
+		writeAndWait(conn, head+"X-Padding: ", padding[:longHeadBytes-len(head)])
 	case StopInBody:
-		writeAndWait(conn, m.longRequest()+strings.Repeat("x", longBodyBytes-1))
+		writeAndWait(conn, m.longRequest(), padding[:longBodyBytes-1])
 	case WriteSlowly:
-		m.writeSlowly(conn, m.longRequest()+strings.Repeat("x", longBodyBytes))
+		m.writeSlowly(conn, m.longRequest())
 	case StopInFields:
-		writeAndWait(conn, m.head(ClassIdempotent, usualBudget)+fields(shortFields))
+		writeAndWait(conn, m.head(ClassIdempotent, usualBudget), manyFields())
 	case FloodMalformed, FloodFields, FloodCustomers:
 		m.flood(conn)
 	}
 }
 
-// writeAndWait writes a text, and waits until the connection ends.
-func writeAndWait(conn net.Conn, text string) {
-	if _, err := io.WriteString(conn, text); err == nil {
+// writeAndWait writes the two parts of a text, and waits until the connection ends.
+func writeAndWait(conn net.Conn, start string, rest []byte) {
+	parts := net.Buffers{[]byte(start), rest}
+	if _, err := parts.WriteTo(conn); err == nil {
 		_, _ = io.Copy(io.Discard, conn) // ends with the connection
 	}
 }
 
-// writeSlowly writes a text in pieces, and reads the response.
-func (m *Misbehaving) writeSlowly(conn net.Conn, text string) {
-	for len(text) > 0 && !m.hasEnded() {
-		piece := min(slowPiece, len(text))
-		if _, err := io.WriteString(conn, text[:piece]); err != nil {
+// writeSlowly writes a head and a body of longBodyBytes in pieces, and reads the response.
+func (m *Misbehaving) writeSlowly(conn net.Conn, head string) {
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
+	for rest := padding; len(rest) > 0 && !m.hasEnded(); time.Sleep(slowPause) {
+		piece := min(slowPiece, len(rest))
+		if _, err := conn.Write(rest[:piece]); err != nil {
 			return
 		}
-		text = text[piece:]
-		time.Sleep(slowPause)
+		rest = rest[piece:]
 	}
 	_, _ = conn.Read(make([]byte, 1)) // ends with the response or the connection
 }
@@ -154,26 +160,35 @@
 // flood writes requests as fast as the limiter reads them, and discards the responses.
 func (m *Misbehaving) flood(conn net.Conn) {
 	go func() { _, _ = io.Copy(io.Discard, conn) }() // ends with the connection
+	batch := m.floodRequests()
 	for !m.hasEnded() {
 		_ = conn.SetDeadline(time.Now().Add(misbehavingTimeout)) // the next write fails if the connection is closed
-		var batch strings.Builder
-		for range floodBatch {
-			batch.WriteString(m.floodRequest())
-		}
-		if _, err := io.WriteString(conn, batch.String()); err != nil {
+		if _, err := conn.Write(batch); err != nil {
 			return
 		}
 		m.Sent.Add(floodBatch)
+		if m.kind == FloodCustomers {
+			batch = m.floodRequests()
+		}
 	}
 }
 
+// floodRequests returns the next floodBatch requests of a flooding client.
+func (m *Misbehaving) floodRequests() []byte {
+	var batch bytes.Buffer
+	for range floodBatch {
+		batch.WriteString(m.floodRequest())
+	}
+	return batch.Bytes()
+}
+
 // floodRequest returns the next request of a flooding client.
 func (m *Misbehaving) floodRequest() string {
 	switch m.kind {
 	case FloodMalformed:
 		return "GET /unknown/1 HTTP/1.1\r\nHost: backend.local\r\n\r\n"
 	case FloodFields:
-		return "GET /unknown/1 HTTP/1.1\r\nHost: backend.local\r\n" + fields(shortFields) + "\r\n"
+		return "GET /unknown/1 HTTP/1.1\r\nHost: backend.local\r\n" + string(manyFields()) + "\r\n"
 	}
 	return m.head(ClassIdempotent, shortBudget) + "\r\n"
 }
@@ -195,11 +210,11 @@
 		"X-Budget: %du\r\nQuota-Info: units=1,spread=1,first=0\r\n", method, class, 1<<32+id, id, m, budget.Microseconds())
 }
 
-// fields returns a number of short header fields.
-func fields(count int) string {
-	var b strings.Builder
-	for i := range count {
+// manyFields returns shortFields short header fields.
+var manyFields = sync.OnceValue(func() []byte {
+	var b bytes.Buffer
+	for i := range shortFields {
 		fmt.Fprintf(&b, "%x:\r\n", i)
 	}
-	return b.String()
-}
+	return b.Bytes()
+})
