Read no further than the longest request of a rejected connection

Callers beside a client beyond the limit on connections that sent at full speed got their answers late: the limiter read and dropped whatever that client sent, for 0.5 s after its 429, and without any bound if the input never ran out, on the goroutine that accepts connections.

A rejected connection is read up to the length of the longest request (80 KiB); a client that goes on sending has its connection reset.

Ruled out: that the 429 is lost to a client that sends one long request (the bound holds one whole). Price: none measured.

--- a/internal/httpserver/rejection.go
+++ b/internal/httpserver/rejection.go
@@ -15,6 +15,9 @@
 	maxRejectedConns = 48
 	// rejectionLingerTime is how long a rejected connection stays open for the rest of its request.
 	rejectionLingerTime = 500 * time.Millisecond
+	// maxRejectedBytes is the number of bytes that are read of a rejected connection, as many as the longest request has. A
+	// client that goes on sending has its connection reset.
+	maxRejectedBytes = maxHeaderBytes + maxBodyBytes
 	// rejectionReadBytes is the buffer size for reading what a rejected client has sent.
 	rejectionReadBytes = guaranteedMemory
 )
@@ -26,7 +29,8 @@
 func (c *clientConn) awaitRequest() {
 	_ = c.SetReadDeadline(time.Now().Add(c.set.rejectionTimeout)) // fails only on a closed connection
 	notified := false
-	if c.readRequestStart() {
+	received := c.readRequestStart()
+	if received > 0 {
 		if c.displaceOther() {
 			c.set.serve(c)
 			return
@@ -36,7 +40,7 @@
 	}
 	c.set.onRejected(notified)
 	if notified && !c.hasWholeRequest() {
-		go c.lingerRejected() // ends within rejectionLingerTime
+		go c.lingerRejected(maxRejectedBytes - received) // ends within rejectionLingerTime
 		return
 	}
 	_ = c.Close() // an error has no consequence here
@@ -50,15 +54,18 @@
 }
 
 // lingerRejected closes a connection whose client was told that there is no room, once the client has closed it or sent the
-// rest of its request: a close over unread input would reset the connection, and the client might not read the response.
-func (c *clientConn) lingerRejected() {
+// rest of its request: a close over unread input would reset the connection, and the client might not read the response. It
+// reads no more than a number of bytes.
+func (c *clientConn) lingerRejected(maxBytes int) {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = conn.CloseWrite() // the response was written
 	}
 	_ = c.SetReadDeadline(time.Now().Add(rejectionLingerTime)) // fails only on a closed connection
 	var discarded [rejectionReadBytes]byte
-	for err := error(nil); err == nil; {
-		_, err = c.Conn.Read(discarded[:])
+	for err := error(nil); err == nil && maxBytes > 0; {
+		var n int
+		n, err = c.Conn.Read(discarded[:])
+		maxBytes -= n
 	}
 	_ = c.Close() // an error has no consequence here
 }
@@ -91,33 +98,36 @@
 	return true
 }
 
-// readRequestStart waits for the first bytes of a request, reads all input that has arrived, and reports whether there was
-// any. It buffers rejectionReadBytes of it at most.
-func (c *clientConn) readRequestStart() bool {
+// readRequestStart waits for the first bytes of a request, reads the input that has arrived, maxRejectedBytes of it or a little
+// more at most, and returns the number of bytes read. It buffers rejectionReadBytes of it at most.
+func (c *clientConn) readRequestStart() (received int) {
 	var buffer [rejectionReadBytes]byte
-	n, _ := c.Conn.Read(buffer[:]) // an error counts as no input
-	received := n > 0
-	buffered := n
+	received, _ = c.Conn.Read(buffer[:]) // an error counts as no input
 	if c.raw != nil {
-		_ = c.raw.Control(func(fd uintptr) { // also reads input that arrived while the process was suspended
-			for {
-				into := buffer[:]
-				if buffered < len(buffer) {
-					into = buffer[buffered:]
-				}
-				n, _ := rawread.Nonblocking(fd, into)
-				if n <= 0 {
-					return
-				}
-				received = true
-				buffered += n
-			}
-		})
+		// Also reads input that arrived while the process was suspended. Fails on a closed socket.
+		_ = c.raw.Control(func(fd uintptr) { received += readAvailable(fd, buffer[:], received) })
 	}
-	if buffered <= len(buffer) { // otherwise some of it was overwritten
+	if received <= len(buffer) { // otherwise some of it was overwritten
 		c.set.mu.Lock()
-		c.input.add(buffer[:buffered])
+		c.input.add(buffer[:received])
 		c.set.mu.Unlock()
 	}
 	return received
 }
+
+// readAvailable reads the available input of a socket, of which a number of bytes were received before, and returns the number
+// of bytes read. It reads to the free part of the buffer; once that is full it overwrites the buffer.
+func readAvailable(fd uintptr, buffer []byte, before int) (received int) {
+	for before+received < maxRejectedBytes {
+		into := buffer
+		if used := before + received; used < len(buffer) {
+			into = buffer[used:]
+		}
+		n, _ := rawread.Nonblocking(fd, into)
+		if n <= 0 {
+			break
+		}
+		received += n
+	}
+	return received
+}
