Read ahead only behind requests that wait for a backend

With 200 clients that sent malformed requests at full speed, a process of 32 MB spent a third of its processor on garbage collection: each connection had up to 20 KiB read ahead, 3.3 MB together, of requests that wait for nothing. Reading ahead is there to see that the client of a forwarded request disconnects. It now begins when a request is posted and ends with its response.

TestReadAheadIsBounded observes the client first, as serveRequest does; its checks are the same. Ruled out: that a disconnect is missed; observeClient reads what is there at the post, and the background read what comes after.

--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -35,6 +35,7 @@
 	writingSince     time.Time     // start of the write in progress; zero for none
 	readDeadline     time.Time     // of reads; zero for none
 	pacer            replyPacer
+	isWatched        bool  // input behind the request in progress is read ahead, to see its client disconnect
 	isUnseen         bool  // not all input behind the request in progress is read ahead, and a close would not be seen
 	readErr          error // of the last read that failed
 	readerBlocked    bool  // net/http is waiting at the socket for more bytes, so it has no complete request
@@ -104,7 +105,7 @@
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	c.requestStartedAt = c.set.now()
-	c.isUnseen = false
+	c.isWatched, c.isUnseen = false, false
 	c.refundRequest()
 	select {
 	case <-c.unseen:
--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -395,7 +395,7 @@
 	}
 }
 
-// Whenever net/http checks whether the client has disconnected, no more than the limit and one read has been read ahead.
+// Whenever net/http checks whether the client of a request that was posted has disconnected, no more than the limit and one read has been read ahead.
 func TestReadAheadIsBounded(t *testing.T) {
 	accepted, dialed := testnet.Pair(t)
 	conns := newConnSet(nil, 0, time.Now)
@@ -403,6 +403,7 @@
 	sent := strings.Repeat("0123456789", maxReadAhead/2)
 	newTestClient(t, dialed).send(sent)
 	conn.startServing()
+	conn.observeClient()
 	got := ""
 	for range 2 * maxReadAhead {
 		var one [1]byte
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -58,6 +58,7 @@
 			if s.draining.Load() { // draining may have begun since ServeHTTP
 				closeAfterResponse(w)
 			}
+			conn.stopObserving()
 			if response.Kind == core.Served { // other responses may have a Response that is a nil pointer
 				conn.chargeResponse(len(response.Response.(*upstream.Response).Body))
 			}
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -168,7 +168,7 @@
 }
 
 // receive reads what is in the socket, and fails with syscall.EAGAIN if the socket has nothing that net/http may have.
-// While a request is in progress it reads ahead, because unread bytes after that request would hide that the client has
+// While a request waits for a backend it reads ahead, because unread bytes after that request would hide that the client has
 // disconnected.
 func (c *clientConn) receive(fd uintptr, p []byte) (n int, err error) {
 	c.set.mu.Lock()
@@ -238,6 +238,9 @@
 // which ends that read. Until then it returns no byte but the error of the last read, which is nil at the end of the stream.
 // The caller holds set.mu.
 func (c *clientConn) receiveAhead(fd uintptr, p []byte) (n int, err error) {
+	if !c.isWatched {
+		return c.peekAhead(fd)
+	}
 	err = c.readAhead(fd)
 	switch {
 	case errors.Is(err, errReadAheadFull), errors.Is(err, errOutOfMemory) && len(c.input.buffered) > 0:
@@ -253,6 +256,14 @@
 	return 0, err
 }
 
+// peekAhead is receiveAhead for a request that does not wait for a backend: it reads nothing. The caller holds set.mu.
+func (c *clientConn) peekAhead(fd uintptr) (n int, err error) {
+	if n, err = rawread.Peek(fd); n > 0 {
+		return 0, syscall.EAGAIN // net/http ends the read when the request is answered
+	}
+	return 0, err
+}
+
 // readAhead buffers what is in the socket. It returns syscall.EAGAIN once the socket is empty, io.EOF at the end of the
 // stream, errReadAheadFull once maxReadAhead bytes are buffered, errOutOfMemory if there is no room for more, and any other
 // error of a read. The caller holds set.mu.
@@ -287,10 +298,12 @@
 }
 
 // observeClient reads ahead, and reports whether the client of the request in progress counts as disconnected. What the
-// client sent behind the request may hide that it has left, however long ago.
+// client sent behind the request may hide that it has left, however long ago. From then on input is read ahead as it arrives,
+// until stopObserving.
 func (c *clientConn) observeClient() (disconnected bool, reason core.DisconnectReason) {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
+	c.isWatched = true
 	if c.raw == nil || c.isUnseen {
 		return c.isUnseen, core.DisconnectUnseen
 	}
@@ -306,6 +319,13 @@
 	return true, core.DisconnectClosed
 }
 
+// stopObserving ends reading ahead, as the request in progress has its response.
+func (c *clientConn) stopObserving() {
+	c.set.mu.Lock()
+	c.isWatched = false
+	c.set.mu.Unlock()
+}
+
 // fault returns the fault of the present request that was found as it was read; nil for none.
 func (c *clientConn) fault() *requestFault {
 	c.set.mu.Lock()
--- a/internal/httpserver/pacing_test.go
+++ b/internal/httpserver/pacing_test.go
@@ -59,3 +59,29 @@
 		t.Errorf("20 responses beyond the burst took %v, want an interval between them", took)
 	}
 }
+
+// Behind malformed requests, whose responses wait for no backend, no more is read than net/http asks for.
+func TestNothingIsReadAheadOfMalformedRequests(t *testing.T) {
+	const (
+		request      = "GET /unknown/1 HTTP/1.1\nHost: x\n\n"
+		netHTTPReads = 4 << 10
+	)
+	server := startServer(t)
+	go func() { // ends with the test process: the channel is never closed
+		for range server.events {
+		}
+	}()
+	client := server.connect(t)
+	client.send(strings.Repeat(request, 4*maxReadAhead/len(request)))
+	conns := server.connSet()
+	for range 2 * localReplyBurst {
+		client.response()
+		conns.mu.Lock()
+		for _, conn := range conns.conns(stateReading, stateBusy) {
+			if n := len(conn.input.buffered); n > netHTTPReads {
+				t.Errorf("%d bytes are buffered, want at most %d", n, netHTTPReads)
+			}
+		}
+		conns.mu.Unlock()
+	}
+}
