Local replies: a burst and a rate for all connections together

200 clients that sent malformed requests had a burst of 20 local replies each, 4,000 at once, then 2,000 a second: on a busy machine regular requests waited for seconds in that second. All connections together now have a burst of 200 and 1,000 a second; beyond it a connection has a burst of 2, then takes its turn, 250 ms away at most (100 ms before). A connection with a local reply every 5 ms or less often waits no more than before: not at all.

TestBurstsOfManyConnectionsAreShort fails without it (4,000 at once, 600 wanted).

--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -70,9 +70,9 @@
 	resumed          chan struct{} // closed by resume; nil while accepting is not paused
 	scratch          [4 << 10]byte // buffer for reading ahead
 	memory           sharedMemory
-	nextTurnAt       time.Time // of connections that wait after local replies
-	draining         bool      // a connection that becomes idle is closed
-	readsStopped     bool      // incomplete requests are not read any further
+	localReplies     replyPacer // of all connections
+	draining         bool       // a connection that becomes idle is closed
+	readsStopped     bool       // incomplete requests are not read any further
 
 	// moveConn moves an idle connection to another process; nil while no connections are being moved.
 	moveConn func(syscall.Conn) error
--- a/internal/httpserver/pacing.go
+++ b/internal/httpserver/pacing.go
@@ -9,53 +9,54 @@
 
 // This file paces connections on which request after request is answered without a backend. Such requests cost a client
 // nothing, and their goroutines would take the processor from those of other clients. A connection has a burst of them, then
-// a rate; beyond the burst all connections take turns.
+// a rate. So have all connections together: beyond it the connections that have used up a small burst take turns.
 
 const (
 	// localReplyBurst is the number of local replies that a connection gets at once, and localReplyInterval the time in which
 	// it gets a further one.
 	localReplyBurst    = 20
 	localReplyInterval = 5 * time.Millisecond
-	// turnInterval is the time between two local replies on connections that have used up their bursts, and maxTurnDelay
-	// bounds the time that such a connection waits for its turn: a request on it may be one that is forwarded.
-	turnInterval = 500 * time.Microsecond
-	maxTurnDelay = 100 * time.Millisecond
+	// totalReplyBurst is the number of local replies that all connections together get at once, and turnInterval the time in
+	// which they get a further one. While there are more, a connection gets crowdedReplyBurst at once.
+	totalReplyBurst   = 200
+	turnInterval      = time.Millisecond
+	crowdedReplyBurst = 2
+	// maxTurnDelay bounds the time that a connection waits for its turn: a request on it may be one that is forwarded.
+	maxTurnDelay = 250 * time.Millisecond
 )
 
-// A replyPacer spaces the local replies on one connection. Its time lies up to localReplyBurst intervals in the past.
+// A replyPacer spaces local replies.
 type replyPacer struct {
-	nextAt time.Time // when the next local reply is due by the rate
+	nextAt time.Time // when the next local reply is due by the rate; in the past if part of the burst is left
 }
 
-// delay records a local reply, and returns how long the connection has to wait after it.
-func (p *replyPacer) delay(now time.Time) time.Duration {
-	if earliest := now.Add(-localReplyBurst * localReplyInterval); p.nextAt.Before(earliest) {
+// record records a local reply, and returns how long after it the next one is due: 0 within the burst, maxTurnDelay at most.
+func (p *replyPacer) record(now time.Time, burst int, interval time.Duration) time.Duration {
+	if earliest := now.Add(-time.Duration(burst) * interval); p.nextAt.Before(earliest) {
 		p.nextAt = earliest
 	}
-	p.nextAt = p.nextAt.Add(localReplyInterval)
-	return max(p.nextAt.Sub(now), 0)
-}
-
-// turnDelay gives the connection the next turn of those that have used up their bursts, and returns how long that is away. The
-// caller holds s.mu.
-func (s *connSet) turnDelay(now time.Time) time.Duration {
-	if s.nextTurnAt.Before(now) {
-		s.nextTurnAt = now
+	p.nextAt = p.nextAt.Add(interval)
+	if latest := now.Add(maxTurnDelay); p.nextAt.After(latest) {
+		p.nextAt = latest
 	}
-	s.nextTurnAt = s.nextTurnAt.Add(turnInterval)
-	return s.nextTurnAt.Sub(now)
+	return max(p.nextAt.Sub(now), 0)
 }
 
 // localReplyDelay records a local reply, and returns how long the connection has to wait after it.
-func (c *clientConn) localReplyDelay() (delay time.Duration) {
+func (c *clientConn) localReplyDelay() time.Duration {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	now := c.set.now()
-	delay = c.pacer.delay(now)
+	turnDelay := c.set.localReplies.record(now, totalReplyBurst, turnInterval)
+	burst := localReplyBurst
+	if turnDelay > 0 {
+		burst = crowdedReplyBurst
+	}
+	delay := c.pacer.record(now, burst, localReplyInterval)
 	if delay == 0 {
 		return 0
 	}
-	return min(max(delay, c.set.turnDelay(now)), maxTurnDelay)
+	return max(delay, turnDelay)
 }
 
 // pace sends a local reply that was written, and waits until the next request of the connection may be read.
--- a/internal/httpserver/pacing_test.go
+++ b/internal/httpserver/pacing_test.go
@@ -39,6 +39,33 @@
 	}
 }
 
+// While many connections get local replies, those that get a few of them do not wait, and no connection gets a long burst.
+func TestBurstsOfManyConnectionsAreShort(t *testing.T) {
+	conns := newConnSet(nil, 0, nil)
+	now := time.Unix(1000, 0)
+	conns.now = func() time.Time { return now }
+	atOnce := 0
+	for range totalReplyBurst {
+		conn := &clientConn{set: conns}
+		for range localReplyBurst {
+			if conn.localReplyDelay() > 0 {
+				break
+			}
+			atOnce++
+		}
+	}
+	if want := totalReplyBurst * (crowdedReplyBurst + 1); atOnce > want {
+		t.Errorf("%d connections got %d replies at once, want %d at most", totalReplyBurst, atOnce, want)
+	}
+	regular := &clientConn{set: conns}
+	for range 100 {
+		if delay := regular.localReplyDelay(); delay > 0 {
+			t.Fatalf("delay of %v, want none for a reply every %v", delay, localReplyInterval)
+		}
+		now = now.Add(localReplyInterval)
+	}
+}
+
 // A client that pipelines malformed requests gets all responses, the burst at once, and no faster than the rate after that.
 func TestMalformedRequestsArePaced(t *testing.T) {
 	server := startServer(t)
