Await the request of a rejected connection for 50 ms while others connect

Beside hundreds of clients that connect again and again, connections of regular clients were closed before their requests were read: of the 48 connections beyond the limit that wait for their requests, the oldest made room for each new one, after 9 to 25 ms at 2,000 to 4,000 connects a second. Now one that was answered makes room first, then one whose request was awaited for 50 ms; until then the next connection stays in the accept queue, where its request arrives meanwhile. Clients that send at once make nobody wait.

TestRequestIsAwaitedWhileOthersConnect fails without it (74 us). Price: a crowd of silent clients delays new connections by its size / 960 s.

--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -102,32 +102,17 @@
 	if s.isFull() {
 		evicted = s.evictFirst(uselessConns)
 		if evicted.clientConn == nil { // no connection may be closed for one of which no request is known
-			state = stateRejected
-		}
-	}
-	conn := newClientConn(s, accepted, state)
-	requestReceived := state == stateRejected && conn.hasInput()
-	if state == stateRejected && !requestReceived && s.byState[stateRejected].Len() >= maxRejectedConns {
-		evicted = s.evictLongest(stateRejected, 0)
-		if evicted.clientConn == nil { // every rejected client has sent its request and is being answered
+			conn := newClientConn(s, accepted, stateRejected)
 			s.mu.Unlock()
-			_ = accepted.Close() // nothing was sent on it
-			s.onRejected(false)
+			s.admitRejected(conn)
 			return nil
 		}
 	}
+	conn := newClientConn(s, accepted, state)
 	s.add(conn)
 	s.mu.Unlock()
 	evicted.finish()
-	switch {
-	case requestReceived: // awaitRequest does not have to wait
-		conn.awaitRequest()
-	case state == stateRejected:
-		go conn.awaitRequest()
-	default:
-		return conn
-	}
-	return nil
+	return conn
 }
 
 // isFull reports whether a further connection would exceed the limit. Rejected connections do not count. The
--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -28,6 +28,7 @@
 	since            time.Time     // when the connection entered the state
 	element          *list.Element // in the list of connections in this state
 	requestStartedAt time.Time     // start of the time for the next request: connect, last response or its first byte
+	rejectionSent    bool          // a response to a rejected connection was written
 	hasRequestBytes  bool          // part of the next request was read
 	input            inputBuffer   // for the next reads of net/http
 	inputFault       *requestFault // fault of the present request that was found before net/http had its head; nil for none
--- a/internal/httpserver/rejection.go
+++ b/internal/httpserver/rejection.go
@@ -13,6 +13,10 @@
 const (
 	// maxRejectedConns is the maximum number of rejected connections that wait for their requests at once.
 	maxRejectedConns = 48
+	// minRequestWait is how long the request of a rejected connection is awaited at least while others are accepted, and
+	// rejectedSlotInterval the time between two checks whether one has been awaited for as long.
+	minRequestWait       = 50 * time.Millisecond
+	rejectedSlotInterval = 2 * time.Millisecond
 	// rejectionLingerTime is how long a rejected connection stays open for the rest of its request.
 	rejectionLingerTime = 500 * time.Millisecond
 	// maxRejectedBytes is the number of bytes that are read of a rejected connection, as many as the longest request has. A
@@ -22,6 +26,65 @@
 	rejectionReadBytes = guaranteedMemory
 )
 
+// admitRejected adds a rejected connection, and sees to its request. If too many of them wait already, it closes one of them.
+func (s *connSet) admitRejected(conn *clientConn) {
+	s.mu.Lock()
+	requestReceived, evicted := s.awaitRejectedSlot(conn)
+	isAdded := requestReceived || !s.rejectedIsFull()
+	if isAdded {
+		s.add(conn)
+	}
+	s.mu.Unlock()
+	evicted.finish()
+	switch {
+	case !isAdded: // every rejected client has sent its request and is being answered
+		_ = conn.Conn.Close() // nothing was sent on it
+		s.onRejected(false)
+	case requestReceived: // awaitRequest does not have to wait
+		conn.awaitRequest()
+	default:
+		go conn.awaitRequest()
+	}
+}
+
+// awaitRejectedSlot waits until the request of a new connection has arrived, or there is room for a further rejected
+// connection. It evicts one that is answered, or whose request was awaited for minRequestWait: connections that are accepted
+// and closed at once would only be made again. The caller holds s.mu.
+func (s *connSet) awaitRejectedSlot(conn *clientConn) (requestReceived bool, evicted evictedConn) {
+	for range minRequestWait / rejectedSlotInterval {
+		if conn.hasInput() {
+			return true, evictedConn{}
+		}
+		if !s.rejectedIsFull() {
+			return false, evictedConn{}
+		}
+		if evicted = s.evictAnswered(); evicted.clientConn == nil {
+			evicted = s.evictLongest(stateRejected, minRequestWait)
+		}
+		if evicted.clientConn != nil {
+			return false, evicted
+		}
+		s.mu.Unlock()
+		time.Sleep(rejectedSlotInterval)
+		s.mu.Lock()
+	}
+	return conn.hasInput(), s.evictLongest(stateRejected, 0)
+}
+
+// rejectedIsFull reports whether maxRejectedConns is reached. The caller holds s.mu.
+func (s *connSet) rejectedIsFull() bool { return s.byState[stateRejected].Len() >= maxRejectedConns }
+
+// evictAnswered evicts a rejected connection that is answered. The caller holds s.mu.
+func (s *connSet) evictAnswered() evictedConn {
+	for e := s.byState[stateRejected].Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); c.rejectionSent && c.mayEvict() {
+			c.setStateLocked(stateClosed)
+			return evictedConn{clientConn: c, previous: stateRejected}
+		}
+	}
+	return evictedConn{}
+}
+
 // awaitRequest waits for the request of a new connection for which there is no room. If a complete request arrives, and
 // another connection may be closed for it, the connection is served. Otherwise awaitRequest answers the request with 429 and
 // closes the connection. It reads what the client has sent, because closing a socket with unread input resets the connection.
@@ -37,6 +100,9 @@
 		}
 		_, err := c.Write(c.set.rejection)
 		notified = err == nil // the write fails if the connection was closed for another new one
+		c.set.mu.Lock()
+		c.rejectionSent = true
+		c.set.mu.Unlock()
 	}
 	c.set.onRejected(notified)
 	if notified && !c.hasWholeRequest() {
--- a/internal/httpserver/rejection_test.go
+++ b/internal/httpserver/rejection_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemongate/internal/core"
+	"lemongate/internal/testnet"
 )
 
 // A client beyond the limit on connections that goes on sending is read no further than the longest request: reading on would
@@ -37,3 +38,48 @@
 	server.reject(id)
 	client.response()
 }
+
+// While more clients connect than there is room for, the request of each is awaited for a while before another client takes
+// its place; a client that was answered gives way at once.
+func TestRequestIsAwaitedWhileOthersConnect(t *testing.T) {
+	server, elapsed := startServerWithMaxConns(t, 1)
+	client := server.connect(t)
+	client.send(validRequest)
+	id := (<-server.events).(*core.RequestReceived).ID
+	server.setRejectionTimeout(time.Minute)
+	first := server.connect(t)
+	server.awaitState(stateRejected, 1)
+	for range maxRejectedConns - 1 {
+		server.connect(t)
+	}
+	server.awaitState(stateRejected, maxRejectedConns)
+	conns := server.connSet()
+	admit := func() (took time.Duration) {
+		accepted, _ := testnet.Pair(t)
+		begin := time.Now()
+		conns.admit(accepted, stateNew)
+		return time.Since(begin)
+	}
+	if took := admit(); took < minRequestWait {
+		t.Errorf("a client took the place of another one after %v, want %v at least", took, minRequestWait)
+	}
+	first.expectClose()
+	<-server.events // the first client
+
+	elapsed.Add(int64(minRequestWait))
+	answered := server.connect(t)
+	<-server.events // the client that gives way
+	answered.send(validRequest[:20])
+	answered.expectRejected()
+	<-server.events // the client that was answered
+	admit()
+	conns.mu.Lock()
+	for _, conn := range conns.conns(stateRejected) {
+		if conn.rejectionSent {
+			t.Error("a client that was answered did not give way to a new one")
+		}
+	}
+	conns.mu.Unlock()
+	server.reject(id)
+	client.response()
+}
