Let a request take the place of a connection that floods the limiter

Beside 200 clients that pipelined malformed requests, at 208 connections, a regular client found no room: a connection that is paced after local replies counted as busy, and could not be closed, as up to 4 KiB behind its last request had been read.

A paced connection has a state of its own, and makes room for a complete request of another client. Nothing behind its last request has been read by then: unless the last response came from a backend, one request is read at a time, by a look at the input first. So no request that was read loses its answer.

Evidence: TestRequestDisplacesPacedConnection fails without the rule, and without the look. Price: a system call more for the first request of a connection, and after a local reply.

--- a/internal/core/reasons.go
+++ b/internal/core/reasons.go
@@ -37,6 +37,8 @@
 	CloseMemory
 	// CloseUnreadResponse means that the client did not read its response, and the connection was closed to make room.
 	CloseUnreadResponse
+	// ClosePaced means that the connection got local replies too fast, and was closed between two requests to make room.
+	ClosePaced
 	// CloseUnparsable means that what was received is no request.
 	CloseUnparsable
 	numCloseReasons
@@ -45,7 +47,7 @@
 // String returns the name that logs and metrics use.
 func (r CloseReason) String() string {
 	return [...]string{
-		"unknown", "idle", "silent", "incomplete", "lingering", "rejected", "rejected_unread", "client", "timeout", "memory", "unread_response", "unparsable",
+		"unknown", "idle", "silent", "incomplete", "lingering", "rejected", "rejected_unread", "client", "timeout", "memory", "unread_response", "paced", "unparsable",
 	}[r]
 }
 
--- a/internal/httpserver/clientconn.go
+++ b/internal/httpserver/clientconn.go
@@ -36,6 +36,7 @@
 	writingSince     time.Time     // start of the write in progress; zero for none
 	readDeadline     time.Time     // of reads; zero for none
 	pacer            replyPacer
+	readsMore        bool  // more than one request may be read at once, as the last response came from a backend
 	isWatched        bool  // input behind the request in progress is read ahead, to see its client disconnect
 	isUnseen         bool  // not all input behind the request in progress is read ahead, and a close would not be seen
 	readErr          error // of the last read that failed
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -19,6 +19,7 @@
 	// net/http has read part of the next one.
 	stateReading
 	stateBusy      // a request is being decided or answered
+	statePaced     // between requests: the next one waits unread, as the connection gets local replies too fast
 	stateIdle      // between requests: the server waits for the next one
 	stateLingering // the last response was sent; the connection is open so that the client can read it
 	stateRejected  // new and beyond the limit; its client is notified once its request arrives
@@ -28,7 +29,7 @@
 
 // String returns the name of the state, which is the same as in release 0.8.0.
 func (s connState) String() string {
-	return [...]string{"silent", "reading", "busy", "idle", "ending", "turned", "closed"}[s]
+	return [...]string{"silent", "reading", "busy", "paced", "idle", "ending", "turned", "closed"}[s]
 }
 
 // A connSet holds the client connections of a server and their states. As a listener it accepts connections beyond
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -54,6 +54,8 @@
 		return core.CloseIncomplete
 	case stateLingering:
 		return core.CloseLingering
+	case statePaced:
+		return core.ClosePaced
 	}
 	return core.CloseIdle
 }
@@ -72,10 +74,10 @@
 		{stateLingering, 0}, {stateIdle, minIdleTime}, {stateNew, newConnTimeout}, {stateReading, stuckReadingTime},
 	}
 	// connsWithoutRequest are evicted for a new connection of which a complete request was received: also those that wait
-	// for the rest of a request for newConnTimeout, any idle one, because its client can resend a request that it sent just
-	// before the close, and any new one that has sent nothing.
+	// for the rest of a request for newConnTimeout, paced ones, any idle one, because its client can resend a request that it
+	// sent just before the close, and any new one that has sent nothing.
 	connsWithoutRequest = append(slices.Clip(uselessConns),
-		evictionRule{stateReading, newConnTimeout}, evictionRule{stateIdle, 0}, evictionRule{stateNew, 0})
+		evictionRule{stateReading, newConnTimeout}, evictionRule{statePaced, 0}, evictionRule{stateIdle, 0}, evictionRule{stateNew, 0})
 )
 
 // evictFirst evicts the first connection that it finds by the rules, in their order. The caller holds s.mu.
@@ -105,13 +107,15 @@
 	return evictedConn{}
 }
 
-// mayEvict reports whether a connection in its current state may be evicted. Except when it lingers, a connection with
-// input in its socket may not: after a process was suspended, sockets hold requests that arrived in the meantime. The
+// mayEvict reports whether a connection in its current state may be evicted. Except when it lingers or is paced, a connection
+// with input in its socket may not: after a process was suspended, sockets hold requests that arrived in the meantime. The
 // caller holds set.mu.
 func (c *clientConn) mayEvict() bool {
 	switch c.state {
 	case stateLingering:
 		return true
+	case statePaced:
+		return len(c.input.buffered) == 0
 	case stateReading:
 		return c.readerBlocked && !c.hasInput()
 	}
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -58,7 +58,7 @@
 			if s.draining.Load() { // draining may have begun since ServeHTTP
 				closeAfterResponse(w)
 			}
-			conn.stopObserving()
+			conn.stopObserving(response.Kind == core.Served)
 			if response.Kind == core.Served { // other responses may have a Response that is a nil pointer
 				conn.chargeResponse(len(response.Response.(*upstream.Response).Body))
 			}
@@ -99,6 +99,7 @@
 	if retryAfter := s.options.Settings.MaxRetryAfter; fault.isOverload && retryAfter > 0 {
 		w.Header()["Retry-After"] = []string{formatSeconds(retryAfter)}
 	}
+	conn.stopObserving(false)
 	writeText(w, fault.status, fault.text)
 	if hasBody {
 		_ = controller.Flush()   // the client may have disconnected
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -201,6 +201,13 @@
 		if len(c.input.buffered) > 0 {
 			into = c.set.scratch[:]
 		}
+		if !c.readsMore {
+			limit, err := c.nextRequestBytes(fd, into)
+			if limit == 0 {
+				return 0, err
+			}
+			into = into[:limit]
+		}
 		received, err := c.readCharged(fd, into)
 		if received == 0 {
 			return 0, err
@@ -210,6 +217,26 @@
 	return n, nil
 }
 
+// nextRequestBytes returns how many bytes, of those that a buffer has room for, a read may take without reading beyond the
+// next request: a paced connection may be closed before that is read. Without input it returns 0 and what a read would return.
+// It overwrites the buffer. The caller holds set.mu.
+func (c *clientConn) nextRequestBytes(fd uintptr, buffer []byte) (n int, err error) {
+	available, err := rawread.PeekInto(fd, buffer)
+	if available == 0 {
+		return 0, err
+	}
+	scanner := c.input.head
+	n, complete := scanner.scan(buffer[:available])
+	if !complete || len(c.input.buffered) > 0 {
+		return n, nil
+	}
+	length, known := bodyLength(buffer[:n])
+	if !known {
+		return available, nil
+	}
+	return n + min(length, available-n), nil
+}
+
 // readCharged reads from the socket, and charges the connection for what it reads. It fails with errOutOfMemory, and reads
 // nothing, if there is input and no memory for it. The caller holds set.mu.
 func (c *clientConn) readCharged(fd uintptr, p []byte) (n int, err error) {
@@ -319,10 +346,11 @@
 	return true, core.DisconnectClosed
 }
 
-// stopObserving ends reading ahead, as the request in progress has its response.
-func (c *clientConn) stopObserving() {
+// stopObserving ends reading ahead, as the request in progress has its response, from a backend or not.
+func (c *clientConn) stopObserving(fromBackend bool) {
 	c.set.mu.Lock()
 	c.isWatched = false
+	c.readsMore = fromBackend
 	c.set.mu.Unlock()
 }
 
--- a/internal/httpserver/pacing.go
+++ b/internal/httpserver/pacing.go
@@ -67,6 +67,7 @@
 		return
 	}
 	_ = http.NewResponseController(w).Flush() // the client may have disconnected
+	c.setState(statePaced)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
--- a/internal/httpserver/pacing_test.go
+++ b/internal/httpserver/pacing_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lemongate/internal/core"
 )
 
 // The local replies on a connection come in a burst, then at a rate. All connections that have used up their bursts take
@@ -112,3 +114,50 @@
 		conns.mu.Unlock()
 	}
 }
+
+// A request takes the place of a connection on which requests are answered faster than the rate; that connection has been sent
+// the responses to all requests that were read.
+func TestRequestDisplacesPacedConnection(t *testing.T) {
+	const floods = 4
+	server, _ := startServerWithMaxConns(t, floods)
+	server.setRejectionTimeout(time.Minute) // long enough, however late the client is scheduled
+	requests := make(chan *core.RequestReceived, 1)
+	reasons := make(chan core.CloseReason, floods)
+	go func() { // ends with the test process: the channel is never closed
+		for ev := range server.events {
+			switch ev := ev.(type) {
+			case *core.RequestReceived:
+				requests <- ev
+			case *core.ClientConnClosed:
+				reasons <- ev.Reason
+			}
+		}
+	}()
+	for range floods {
+		client := server.connect(t)
+		client.send(strings.Repeat("GET /unknown/1 HTTP/1.1\nHost: x\n\n", 2000))
+		for range localReplyBurst + 1 {
+			client.response()
+		}
+	}
+	regular := server.connect(t)
+	regular.send(validRequest)
+	select {
+	case request := <-requests:
+		server.reject(request.ID)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request was not read")
+	}
+	regular.expectRejected()
+	if reason := <-reasons; reason != core.ClosePaced {
+		t.Errorf("a connection was closed for the reason %v, want %v", reason, core.ClosePaced)
+	}
+	conns := server.connSet()
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	for _, conn := range conns.conns(statePaced) {
+		if n := len(conn.input.buffered); n > 0 {
+			t.Errorf("%d bytes behind the last request were read of a paced connection", n)
+		}
+	}
+}
