Leave a new connection 50 ms for its request before a request displaces it

A complete request displaced a new connection as soon as there was no better one, even one that was accepted a moment before: its client saw a close in place of an answer to a request that it was sending. On a new connection clients need not send it again. A new connection now keeps its place for 50 ms; the request that finds no room gets 429. A connection beyond the limit has up to 0.5 s for its request (0.1 s before) while no other needs its place.

Evidence: TestNewConnectionIsNotDisplacedAtOnce fails without it.

--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -14,7 +14,7 @@
 const (
 	// newConnTimeout is the longest time that a client usually takes to send its request after it has connected. When
 	// the set is full, a new connection that has sent nothing for longer is closed before connections that have
-	// been idle for less than minIdleTime. It is also the time to wait for the request of a rejected connection.
+	// been idle for less than minIdleTime.
 	newConnTimeout = 100 * time.Millisecond
 	// finalAcceptTimeout is the time after Close during which the server still accepts connections that the kernel
 	// has already established.
--- a/internal/httpserver/connset.go
+++ b/internal/httpserver/connset.go
@@ -82,7 +82,7 @@
 func newConnSet(listener net.Listener, maxConns int, now func() time.Time) *connSet {
 	return &connSet{
 		Listener: listener, maxConns: maxConns, now: now,
-		rejectionTimeout: newConnTimeout, stopped: make(chan struct{}), resourceFraction: 1,
+		rejectionTimeout: maxRequestWait, stopped: make(chan struct{}), resourceFraction: 1,
 		memory: sharedMemory{waiting: map[*clientConn]chan struct{}{}},
 	}
 }
--- a/internal/httpserver/evict.go
+++ b/internal/httpserver/evict.go
@@ -75,9 +75,9 @@
 	}
 	// connsWithoutRequest are evicted for a new connection of which a complete request was received: also those that wait
 	// for the rest of a request for newConnTimeout, paced ones, any idle one, because its client can resend a request that it
-	// sent just before the close, and any new one that has sent nothing.
+	// sent just before the close, and new ones that have sent nothing for minRequestWait.
 	connsWithoutRequest = append(slices.Clip(uselessConns),
-		evictionRule{stateReading, newConnTimeout}, evictionRule{statePaced, 0}, evictionRule{stateIdle, 0}, evictionRule{stateNew, 0})
+		evictionRule{stateReading, newConnTimeout}, evictionRule{statePaced, 0}, evictionRule{stateIdle, 0}, evictionRule{stateNew, minRequestWait})
 )
 
 // evictFirst evicts the first connection that it finds by the rules, in their order. The caller holds s.mu.
--- a/internal/httpserver/rejection.go
+++ b/internal/httpserver/rejection.go
@@ -13,9 +13,11 @@
 const (
 	// maxRejectedConns is the maximum number of rejected connections that wait for their requests at once.
 	maxRejectedConns = 48
-	// minRequestWait is how long the request of a rejected connection is awaited at least while others are accepted, and
-	// rejectedSlotInterval the time between two checks whether one has been awaited for as long.
-	minRequestWait       = 50 * time.Millisecond
+	// minRequestWait is how long the request of a new connection is awaited at least, even while others need its place, and
+	// maxRequestWait how long that of a rejected connection is awaited at most.
+	minRequestWait = 50 * time.Millisecond
+	maxRequestWait = 500 * time.Millisecond
+	// rejectedSlotInterval is the time between two checks whether there is room for a further rejected connection.
 	rejectedSlotInterval = 2 * time.Millisecond
 	// rejectionLingerTime is how long a rejected connection stays open for the rest of its request.
 	rejectionLingerTime = 500 * time.Millisecond
--- a/internal/httpserver/rejection_test.go
+++ b/internal/httpserver/rejection_test.go
@@ -83,3 +83,31 @@
 	server.reject(id)
 	client.response()
 }
+
+// A request gets 429 rather than the place of a new connection whose client has had no time to send its own.
+func TestNewConnectionIsNotDisplacedAtOnce(t *testing.T) {
+	server, elapsed := startServerWithMaxConns(t, 1)
+	fresh := server.connect(t)
+	server.awaitState(stateNew, 1)
+	late := server.connect(t)
+	late.send(validRequest)
+	late.expectRejected()
+	<-server.events // the rejected client
+	fresh.send(validRequest)
+	server.reject((<-server.events).(*core.RequestReceived).ID)
+	fresh.expectRejected()
+	fresh.close()
+	for server.Conns() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	silent := server.connect(t)
+	server.awaitState(stateNew, 1)
+	elapsed.Add(int64(minRequestWait))
+	late = server.connect(t)
+	late.send(validRequest)
+	silent.expectClose()
+	<-server.events // the silent client
+	server.reject((<-server.events).(*core.RequestReceived).ID)
+	late.expectRejected()
+}
