Tests at the least memory: large responses; the flood on all connections apart

The part of TestRegularClientsBesideFloods with 200 connections is a test of its own with the same checks.

--- a/cmd/lemongate/misbehaving_test.go
+++ b/cmd/lemongate/misbehaving_test.go
@@ -130,22 +130,39 @@
 	}
 }
 
-// While hundreds of requests, some of them large, wait for slow backends, a process with the least limits stays within its
-// memory limit, and all requests are answered in time.
+// While hundreds of requests, some of them large, wait for slow backends, or large responses arrive slowly, a process with the
+// least limits stays within its memory limit, and all requests are answered in time.
 func TestMemoryLimitWithManyOpenRequests(t *testing.T) {
-	tier := newSmallestLimiter(t)
-	for _, b := range tier.Backends {
-		b.SetDelay(1200 * time.Millisecond)
+	const longestResponse = 64 << 10
+	for name, c := range map[string]struct {
+		requestBytes int
+		setUp        func(*processharness.Backend)
+	}{
+		"large requests": {60000, func(b *processharness.Backend) { b.SetDelay(1200 * time.Millisecond) }},
+		"large responses": {1000, func(b *processharness.Backend) {
+			b.SetDelay(100 * time.Millisecond)
+			b.SetPadding(longestResponse-100, 200*time.Millisecond)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tier := newSmallestLimiter(t)
+			for _, b := range tier.Backends {
+				c.setUp(b)
+			}
+			tier.Plans = []processharness.Plan{{Name: "large", Rate: 400, Burst: 800}} // the window follows from the quotas
+			p := startAll(t, tier)[0]
+			load := tier.StartLoad(250, func(n int) processharness.Request { return newRequest(n, "large", c.requestBytes) })
+			load.EnableResend()
+			time.Sleep(misbehaviorDuration)
+			results := load.End()
+			served := checkAnsweredInTime(t, tier, results, len(results)/50)
+			checkMemory(t, p)
+			t.Logf("%d of %d requests served", served, len(results))
+			if served < len(results)/10 {
+				t.Errorf("%d of %d requests were served, so the test proves little", served, len(results))
+			}
+		})
 	}
-	tier.Plans = []processharness.Plan{{Name: "large", Rate: 400, Burst: 800}} // the window follows from the quotas
-	p := startAll(t, tier)[0]
-	load := tier.StartLoad(250, func(n int) processharness.Request { return newRequest(n, "large", 60000) })
-	load.EnableResend()
-	time.Sleep(misbehaviorDuration)
-	results := load.End()
-	served := checkAnsweredInTime(t, tier, results, len(results)/50)
-	checkMemory(t, p)
-	t.Logf("%d of %d requests served", served, len(results))
 }
 
 // checkMemory checks that the memory of a process has always been within the least limit.
@@ -167,31 +184,39 @@
 	}{
 		"malformed, one connection":          {processharness.FloodMalformed, 1},
 		"malformed, twelve connections":      {processharness.FloodMalformed, 12},
-		"malformed, 200 connections":         {processharness.FloodMalformed, 200},
 		"many fields, twelve connections":    {processharness.FloodFields, 12},
 		"ever new customers, one connection": {processharness.FloodCustomers, 1},
 	} {
-		t.Run(name, func(t *testing.T) {
-			tier := newSmallestLimiter(t)
-			p := startAll(t, tier)[0]
-			load := startRegularLoad(tier)
-			time.Sleep(time.Second) // connections to backends are open by then
-			flood := tier.StartMisbehaving(0, flood.clients, flood.kind)
-			time.Sleep(misbehaviorDuration)
-			results := load.End()
-			flood.End()
-			served := checkAnsweredInTime(t, tier, results, 0)
-			checkMemory(t, p)
-			latency := p99(results, func(processharness.Result) bool { return true })
-			t.Logf("%d of %d requests served, 99th percentile %v, beside %d of the flood", served, len(results), latency, flood.Sent.Load())
-			if served < len(results)*9/10 {
-				t.Errorf("%d of %d requests were served, want nine in ten", served, len(results))
-			}
-			const objective = 700 * time.Millisecond // of processharness.ClassIdempotent, the shortest one
-			if latency > objective {
-				t.Errorf("the 99th percentile of the latency is %v, want at most the objective of %v", latency, objective)
-			}
-		})
+		t.Run(name, func(t *testing.T) { checkServedBesideFlood(t, flood.kind, flood.clients) })
+	}
+}
+
+// The same holds where the flooding clients could take all connections.
+func TestRegularClientsBesideFloodOnAllConnections(t *testing.T) {
+	checkServedBesideFlood(t, processharness.FloodMalformed, 200)
+}
+
+// checkServedBesideFlood checks that regular clients are served in time beside flooding ones, and checks the memory.
+func checkServedBesideFlood(t *testing.T, kind processharness.Misbehavior, clients int) {
+	t.Helper()
+	tier := newSmallestLimiter(t)
+	p := startAll(t, tier)[0]
+	load := startRegularLoad(tier)
+	time.Sleep(time.Second) // connections to backends are open by then
+	flood := tier.StartMisbehaving(0, clients, kind)
+	time.Sleep(misbehaviorDuration)
+	results := load.End()
+	flood.End()
+	served := checkAnsweredInTime(t, tier, results, 0)
+	checkMemory(t, p)
+	latency := p99(results, func(processharness.Result) bool { return true })
+	t.Logf("%d of %d requests served, 99th percentile %v, beside %d of the flood", served, len(results), latency, flood.Sent.Load())
+	if served < len(results)*9/10 {
+		t.Errorf("%d of %d requests were served, want nine in ten", served, len(results))
+	}
+	const objective = 700 * time.Millisecond // of processharness.ClassIdempotent, the shortest one
+	if latency > objective {
+		t.Errorf("the 99th percentile of the latency is %v, want at most the objective of %v", latency, objective)
 	}
 }
 
--- a/internal/processharness/backend.go
+++ b/internal/processharness/backend.go
@@ -22,12 +22,14 @@
 	server    *httptest.Server // the current one
 	startedAt time.Time        // as the endpoint list tells; zero for long ago
 
-	mu             sync.Mutex
-	delay          time.Duration
-	abortsConns    bool
-	attempts       []Attempt
-	spans          []AttemptSpan
-	leasedAttempts []LeasedAttempt
+	mu              sync.Mutex
+	delay           time.Duration
+	padding         int           // spaces behind each response
+	paddingDuration time.Duration // which they take
+	abortsConns     bool
+	attempts        []Attempt
+	spans           []AttemptSpan
+	leasedAttempts  []LeasedAttempt
 }
 
 // AttemptSpan is the time during which an attempt was in flight: from the last byte of its request until its response
@@ -103,6 +105,13 @@
 	b.mu.Unlock()
 }
 
+// SetPadding sets the number of spaces that follow each response, and how long they take. Their end shows a complete response.
+func (b *Backend) SetPadding(bytes int, duration time.Duration) {
+	b.mu.Lock()
+	b.padding, b.paddingDuration = bytes, duration
+	b.mu.Unlock()
+}
+
 // ServeHTTP responds with the X-Call-Id of the request and the size of its body in bytes, after the backend's delay or
 // MinServiceTime, whichever is longer.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -129,7 +138,23 @@
 	if b.tier.ReportUtilization {
 		w.Header().Set("X-Load-Report", "TEXT util=0.3")
 	}
-	_, _ = fmt.Fprintf(w, "%s %d", callID, len(body)) // a limiter may have closed the connection
+	b.respond(w, fmt.Sprintf("%s %d", callID, len(body)))
+}
+
+// respond writes a text and the padding, all but the last byte of it at once. A limiter may have closed the connection.
+func (b *Backend) respond(w http.ResponseWriter, text string) {
+	b.mu.Lock()
+	padding, duration := strings.Repeat(" ", b.padding), b.paddingDuration
+	b.mu.Unlock()
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+len(padding)))
+	_, _ = io.WriteString(w, text)
+	if padding == "" {
+		return
+	}
+	_, _ = io.WriteString(w, padding[1:])
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(duration)
+	_, _ = io.WriteString(w, padding[:1])
 }
 
 // recordAttempt records an attempt, and returns the backend's current delay.
