--- a/internal/eventloop/frames.go
+++ b/internal/eventloop/frames.go
@@ -14,9 +14,9 @@
 	"lemongate/internal/upstream"
 )
 
-// This file defines the format of the frames that the two processes of a limiter exchange, and is the only place
-// beside stateframe.go that maps it to the types of package core. Bodies are JSON, so that releases whose frames have different fields
-// understand each other. Kinds and field tags are part of a format that other releases read.
+// This file defines the format of the frames that the two processes of a limiter exchange, and is the only place beside
+// stateframe.go that maps it to the types of package core. Bodies are JSON, so that releases whose frames have different
+// fields understand each other. Kinds and field tags are part of a format that other releases read.
 
 // frameFormat is the version of the format. A successor with another version is denied, and starts when the
 // listening address is free.
