--- a/cmd/lemongate/misbehaving_test.go
+++ b/cmd/lemongate/misbehaving_test.go
@@ -105,28 +105,37 @@
 // While hundreds of clients stop in the middle of requests, write slowly or send heads of very many fields, a process with
 // the least limits stays within its memory limit, and regular clients get their answers.
 func TestMemoryLimitUnderMisbehavingClients(t *testing.T) {
-	const clients = 600 // more than a limiter with the least limits keeps connected
 	for name, kind := range map[string]processharness.Misbehavior{
 		"heads half sent":      processharness.StopInHead,
 		"bodies half sent":     processharness.StopInBody,
 		"bodies sent slowly":   processharness.WriteSlowly,
 		"heads of many fields": processharness.StopInFields,
 	} {
-		t.Run(name, func(t *testing.T) {
-			tier := newSmallestLimiter(t)
-			p := startAll(t, tier)[0]
-			load := startRegularLoad(tier)
-			misbehaving := tier.StartMisbehaving(0, clients, kind)
-			time.Sleep(misbehaviorDuration)
-			misbehaving.End()
-			results := load.End()
-			served := checkAnsweredInTime(t, tier, results, len(results)/50)
-			checkMemory(t, p)
-			t.Logf("%d of %d requests served", served, len(results))
-			if served < len(results)/2 {
-				t.Errorf("%d of %d requests were served, want half", served, len(results))
-			}
-		})
+		t.Run(name, func(t *testing.T) { checkMisbehavior(t, kind, misbehaviorDuration) })
+	}
+}
+
+// The same holds for clients that stop in the middle of heads for longer than the other tests last.
+func TestMemoryLimitUnderHalfHeadsForLong(t *testing.T) {
+	checkMisbehavior(t, processharness.StopInHead, 40*time.Second)
+}
+
+// checkMisbehavior checks the memory and the service of regular clients while hundreds of clients misbehave for a time.
+func checkMisbehavior(t *testing.T, kind processharness.Misbehavior, duration time.Duration) {
+	t.Helper()
+	const clients = 600 // more than a limiter with the least limits keeps connected
+	tier := newSmallestLimiter(t)
+	p := startAll(t, tier)[0]
+	load := startRegularLoad(tier)
+	misbehaving := tier.StartMisbehaving(0, clients, kind)
+	time.Sleep(duration)
+	misbehaving.End()
+	results := load.End()
+	served := checkAnsweredInTime(t, tier, results, len(results)/50)
+	checkMemory(t, p)
+	t.Logf("%d of %d requests served", served, len(results))
+	if served < len(results)/2 {
+		t.Errorf("%d of %d requests were served, want half", served, len(results))
 	}
 }
 
