Review case 9: a recovery attempt begins under a lease that was given back

Cause: an upgrade gives leases back while attempts that were started under them have no byte written yet; the check before the first byte goes by the lease's former end. Nothing of the program is changed.

--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -143,6 +143,7 @@
 	p.cmd.Dir = r.root
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "TMPDIR="+tmpdir)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends however this program ends
 	r.check(p.cmd.Start(), "start of a limiter")
 	_ = log.Close()
 	r.mu.Lock()
@@ -223,6 +224,11 @@
 // serve starts a server. handle gets each request once its last byte has come, and answers it on the connection; it
 // reports whether the connection stays open.
 func (r *rig) serve(id string, handle func(arrival, net.Conn) bool) *server {
+	return r.serveGated(id, &sync.Mutex{}, handle)
+}
+
+// serveGated is serve for a server that accepts only while gate is not locked.
+func (r *rig) serveGated(id string, gate *sync.Mutex, handle func(arrival, net.Conn) bool) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	r.check(err, "server")
 	s := &server{id: id, addr: l.Addr().String(), state: "up", listener: l}
@@ -232,6 +238,8 @@
 			if err != nil {
 				return
 			}
+			gate.Lock()
+			gate.Unlock()
 			go func() {
 				defer c.Close()
 				in := bufio.NewReader(c)
