Review case 9: count only connections that were not up when the new lease was held

Cause: by its arrival alone a request may have been written before, and read late. Change: the ports of connections that are being established are noted as the successor holds the lease; an attempt on one of these has begun after that.

--- a/review/rig2/case9.go
+++ b/review/rig2/case9.go
@@ -16,18 +16,22 @@
 
 func init() { cases["9"] = case9 }
 
-// connecting reports whether a connection to an address of this machine is being established.
-func connecting(addr string) bool {
-	_, port, _ := net.SplitHostPort(addr)
-	n, _ := strconv.Atoi(port)
+// connecting returns the ports of this machine from which connections to an address are being established.
+func connecting(addr string) map[int]bool {
+	_, text, _ := net.SplitHostPort(addr)
+	port, _ := strconv.Atoi(text)
+	ports := map[int]bool{}
 	data, _ := os.ReadFile("/proc/net/tcp")
 	for line := range strings.Lines(string(data)) {
+		const synSent = "02"
 		f := strings.Fields(line)
-		if len(f) > 3 && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", n)) && f[3] == "02" {
-			return true
+		if len(f) > 3 && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", port)) && f[3] == synSent {
+			_, local, _ := strings.Cut(f[1], ":")
+			n, _ := strconv.ParseInt(local, 16, 32)
+			ports[int(n)] = true
 		}
 	}
-	return false
+	return ports
 }
 
 // case9: an upgrade while the connection of a recovery attempt, made under a lease, comes up late.
@@ -39,6 +43,7 @@
 	type act struct {
 		token uint64
 		at    time.Time
+		port  int // of the limiter's end of the connection
 	}
 	var mu, gate sync.Mutex
 	var acts []act
@@ -47,7 +52,7 @@
 		token, _ := strconv.ParseUint(a.request.Header.Get("X-Lease-Token"), 10, 64)
 		mu.Lock()
 		if token > 0 {
-			acts = append(acts, act{token, a.at})
+			acts = append(acts, act{token, a.at, c.RemoteAddr().(*net.TCPAddr).Port})
 			r.note("s-bad: a recovery attempt, token %d", token)
 		}
 		requests++
@@ -108,13 +113,14 @@
 		}
 		fill = append(fill, c)
 	}
-	r.await("the next recovery attempt is connecting", func() bool { return connecting(bad.addr) })
+	r.await("the next recovery attempt is connecting", func() bool { return len(connecting(bad.addr)) > 0 })
 	began := time.Now()
 	mu.Lock()
 	first := acts[len(acts)-1].token
 	mu.Unlock()
 	var held uint64
 	var heldAt time.Time
+	var notUp map[int]bool // connections that were not up when the successor held the lease: no byte was written on them
 	if r.trouble {
 		q := r.start("successor", tmpdir, cfg())
 		r.await("the successor says yes", func() bool { return ok(q.console, "/healthcheck") })
@@ -128,7 +134,7 @@
 			if err != nil || json.Unmarshal(out, &views) != nil || len(views) != 1 || !views[0].Holds {
 				return false
 			}
-			held, heldAt = views[0].Token, time.Now()
+			held, heldAt, notUp = views[0].Token, time.Now(), connecting(bad.addr)
 			return true
 		})
 		r.note("the successor's lease has token %d, before it was %d", held, first)
@@ -147,7 +153,7 @@
 	defer mu.Unlock()
 	stale := 0
 	for _, a := range acts {
-		if held > 0 && a.token < held && a.at.After(heldAt) {
+		if a.token < held && a.at.After(heldAt) && notUp[a.port] {
 			stale++
 			r.note("STALE: an attempt with token %d begins %.3f s after the lease with token %d was held", a.token, a.at.Sub(heldAt).Seconds(), held)
 		}
