--- a/review/rig2/case7.go
+++ b/review/rig2/case7.go
@@ -14,13 +14,18 @@
 func case7(r *rig) {
 	var mu sync.Mutex
 	runs := map[string]int{}
+	id := newID() // of the request that costs more than usual, one of 61
 	s := r.serve("s-1", func(a arrival, c net.Conn) bool {
 		mu.Lock()
 		runs[a.id]++
 		n := runs[a.id]
 		mu.Unlock()
 		r.note("server: %s of %s begins, run %d", a.id, a.path, n)
-		settle(1500 * time.Millisecond)
+		work := 130 * time.Millisecond
+		if a.id == id {
+			work = 1500 * time.Millisecond
+		}
+		settle(work)
 		answer(c, []byte("ok"))
 		return true
 	})
@@ -29,13 +34,13 @@
 	p := r.start("process-1", tmpdir, config(0, 1, listen, d, free))
 	r.await("process 1 is ready", func() bool { return ok(listen, "/ready") })
 	settle(time.Second)
+	r.ordinaryRequests(listen, "book")
 	upgrade := func(name string, old *proc) *proc {
 		next := r.start(name, tmpdir, config(0, 1, listen, d, free))
 		r.await(name+" says yes", func() bool { return ok(next.console, "/healthcheck") })
 		r.signal(old, syscall.SIGTERM)
 		return next
 	}
-	id := newID()
 	send := func(who string) *client {
 		c, err := dial(listen)
 		r.check(err, who)
--- a/review/rig2/case8.go
+++ b/review/rig2/case8.go
@@ -12,10 +12,14 @@
 
 // case8: a successor that gets SIGTERM while its predecessor is still there.
 func case8(r *rig) {
+	heavy := newID() // of the request that costs more than usual, one of 61 of its class
 	s := r.serve("s-1", func(a arrival, c net.Conn) bool {
 		r.note("server: %s begins", a.id)
-		if filepath.Base(filepath.Dir(a.path)) == "post" {
+		switch {
+		case a.id == heavy:
 			settle(3 * time.Second)
+		case filepath.Base(filepath.Dir(a.path)) == "post":
+			settle(200 * time.Millisecond)
 		}
 		answer(c, []byte("ok "+a.id))
 		return true
@@ -25,6 +29,7 @@
 	r.start("predecessor", tmpdir, config(0, 1, listen, d, free))
 	r.await("the predecessor is ready", func() bool { return ok(listen, "/ready") })
 	settle(time.Second)
+	r.ordinaryRequests(listen, "post")
 	q := r.start("successor", tmpdir, config(0, 1, listen, d, free))
 	r.await("the successor says yes", func() bool { return ok(q.console, "/healthcheck") })
 	settle(500 * time.Millisecond)
@@ -32,8 +37,7 @@
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	lost, sent := 0, 0
-	ask := func(class string, budget time.Duration) {
-		id := newID()
+	ask := func(id, class string, budget time.Duration) {
 		c, err := dial(listen)
 		if err != nil {
 			r.note("client: %s: %v", id, err) // refused: the limiter has not taken it
@@ -59,13 +63,13 @@
 		}
 		r.note("client: %s, %s: answer %d after %.3f s", id, class, status, time.Since(at).Seconds())
 	}
-	group.Go(func() { ask("post", 5*time.Second) })
+	group.Go(func() { ask(heavy, "post", 5*time.Second) })
 	settle(300 * time.Millisecond)
 	if r.trouble {
 		r.signal(q, syscall.SIGTERM)
 	}
 	for range 40 {
-		group.Go(func() { ask("read", time.Second) })
+		group.Go(func() { ask(newID(), "read", time.Second) })
 		settle(100 * time.Millisecond)
 	}
 	group.Wait()
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -477,3 +477,23 @@
 	}
 	cases[os.Args[1]](newRig())
 }
+
+// ordinaryRequests sends 60 requests of a class, ten on each of six connections, and waits for their answers.
+func (r *rig) ordinaryRequests(listen, class string) {
+	var group sync.WaitGroup
+	for range 6 {
+		group.Go(func() {
+			c, err := dial(listen)
+			r.check(err, "client")
+			defer c.Close()
+			for range 10 {
+				id := newID()
+				r.check(c.send(call{id, class, "free", ordinary, 2 * time.Second, ""}), "client")
+				status, _, err := c.receive(3 * time.Second)
+				r.check(err, "client")
+				r.note("client: %s, %s: answer %d", id, class, status)
+			}
+		})
+	}
+	group.Wait()
+}
